Thin whole path: entry, log, VM list, executor, worker as separate processes

Found on the way: one pacer for lease renewal, registration and placement starved placement (batch_done 0 in a demo of 6 s); with a pacer each it is 120 of 120. Closing 6 entries one after the other took 60 s and more, since each HTTP server waits 2 s for its boss threads; closed side by side the demo of 6 s ends in 19 s.

--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Policy experiments over the core, and the load tool. */
+package org.lavenderstage.bench;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Which requests may wait, and in which order they are served. */
+package org.lavenderstage.core.admission;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/interference/package-info.java
@@ -0,0 +1,2 @@
+/** How much a batch class disturbs a service. */
+package org.lavenderstage.core.interference;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/JobState.java
@@ -0,0 +1,93 @@
+package org.lavenderstage.core.ledger.cell;
+
+import java.util.List;
+import org.lavenderstage.core.placement.Resources;
+import org.lavenderstage.core.record.JobAccepted;
+
+/**
+ * What the log says of one job.
+ *
+ * @param accepted the submission
+ * @param acceptedAtMillis append time of the submission
+ * @param phase how far it has come
+ * @param attempt number of the last attempt, 0 for none
+ * @param worker worker of the last attempt, empty for none
+ * @param epoch epoch under which the last attempt was placed or extended
+ * @param untilMillis task horizon of the last attempt
+ * @param checkpoint checkpoint to resume from, empty for none
+ * @param cancelRequested whether the job ends once its attempt has stopped
+ * @param failedOn distinct workers on which an attempt failed
+ */
+public record JobState(
+    JobAccepted accepted,
+    long acceptedAtMillis,
+    JobPhase phase,
+    int attempt,
+    String worker,
+    long epoch,
+    long untilMillis,
+    String checkpoint,
+    boolean cancelRequested,
+    List<String> failedOn) {
+  /** Copies the list. */
+  public JobState {
+    failedOn = List.copyOf(failedOn);
+  }
+
+  static JobState of(JobAccepted accepted, long appendTimeMillis) {
+    return new JobState(
+        accepted, appendTimeMillis, JobPhase.ACCEPTED, 0, "", 0, 0, "", false, List.of());
+  }
+
+  /**
+   * Returns what the job declares that it needs.
+   *
+   * @return the demand
+   */
+  public Resources demand() {
+    return new Resources(accepted.cpuMillis(), accepted.memoryMb(), accepted.accelerators());
+  }
+
+  JobState placed(int nextAttempt, String onWorker, long underEpoch, long horizonMillis) {
+    return new JobState(
+        accepted,
+        acceptedAtMillis,
+        JobPhase.PLACED,
+        nextAttempt,
+        onWorker,
+        underEpoch,
+        horizonMillis,
+        checkpoint,
+        cancelRequested,
+        failedOn);
+  }
+
+  JobState ended(JobPhase next, String resumeFrom, List<String> failures) {
+    return new JobState(
+        accepted,
+        acceptedAtMillis,
+        next,
+        attempt,
+        worker,
+        epoch,
+        untilMillis,
+        resumeFrom,
+        cancelRequested,
+        failures);
+  }
+
+  JobState cancelled() {
+    JobPhase next = phase == JobPhase.PLACED ? JobPhase.PLACED : JobPhase.CANCELLED;
+    return new JobState(
+        accepted,
+        acceptedAtMillis,
+        next,
+        attempt,
+        worker,
+        epoch,
+        untilMillis,
+        checkpoint,
+        true,
+        failedOn);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which entries live. */
+package org.lavenderstage.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** What callers are told. */
+package org.lavenderstage.core.outcome;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which worker runs a task. */
+package org.lavenderstage.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/record/RecordBatch.java
@@ -0,0 +1,32 @@
+package org.lavenderstage.core.record;
+
+import java.util.List;
+
+/**
+ * The records of one append. A writer numbers its batches, so that a batch that was appended twice
+ * takes effect once.
+ *
+ * @param writer incarnation of the process that appends
+ * @param sequence number of the batch, larger than that of the writer's last one on the stream
+ * @param records the proposals, in order
+ * @param unknownRecords count of records that this version cannot read; not encoded
+ */
+public record RecordBatch(
+    String writer, long sequence, List<LedgerRecord> records, int unknownRecords) {
+  /** Copies the records. */
+  public RecordBatch {
+    records = List.copyOf(records);
+  }
+
+  /**
+   * Makes a batch whose records are all known.
+   *
+   * @param writer incarnation of the process that appends
+   * @param sequence number of the batch
+   * @param records the proposals, in order
+   * @return the batch
+   */
+  public static RecordBatch of(String writer, long sequence, List<LedgerRecord> records) {
+    return new RecordBatch(writer, sequence, records, 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which executor serves a request. */
+package org.lavenderstage.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' sheet: its rows, checks and versions. */
+package org.lavenderstage.core.sheet;
--- /dev/null
+++ b/ctl/src/main/java/org/lavenderstage/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.lavenderstage.ctl;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -0,0 +1,310 @@
+package org.lavenderstage.entry;
+
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.cell.CellLedger;
+import org.lavenderstage.core.ledger.cell.JobPhase;
+import org.lavenderstage.core.ledger.claim.ClaimLedger;
+import org.lavenderstage.core.membership.Member;
+import org.lavenderstage.core.sheet.SheetLedger;
+import org.lavenderstage.entry.admin.AdminServer;
+import org.lavenderstage.entry.admin.EntryMetrics;
+import org.lavenderstage.entry.admin.StateDump;
+import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.dispatch.Dispatcher;
+import org.lavenderstage.entry.log.AppendBudget;
+import org.lavenderstage.entry.log.StreamAppender;
+import org.lavenderstage.entry.log.StreamReplica;
+import org.lavenderstage.entry.peer.Membership;
+import org.lavenderstage.entry.peer.PeerServer;
+import org.lavenderstage.entry.request.ClaimCoordinator;
+import org.lavenderstage.entry.request.RequestService;
+import org.lavenderstage.entry.task.Cell;
+import org.lavenderstage.entry.task.CellOwner;
+import org.lavenderstage.entry.task.JobDesk;
+import org.lavenderstage.entry.task.JobService;
+import org.lavenderstage.entry.vm.VmDirectory;
+import org.lavenderstage.platform.Log;
+import org.lavenderstage.platform.http.HttpExecutorClient;
+import org.lavenderstage.platform.http.HttpLog;
+import org.lavenderstage.platform.http.HttpVmList;
+import org.lavenderstage.platform.http.HttpWorkerClient;
+import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.event.LogEvent;
+import org.lavenderstage.wire.peer.Heartbeat;
+import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.settings.EntrySettings;
+
+/** One entry: all its duties and ports, as a library; the daemon is a thin shell around it. */
+public final class Entry implements AutoCloseable {
+  /** Stream of the configuration. */
+  public static final String CONFIG_STREAM = "config";
+
+  /** Stream of the claims. */
+  public static final String CLAIM_STREAM = "claims";
+
+  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
+  private static final long VM_LIST_POLL_MILLIS = 500;
+  private static final long DRAIN_POLL_MILLIS = 20;
+
+  private final EntrySettings settings;
+  private final String name;
+  private final List<StreamReplica<?>> replicas = new ArrayList<>();
+  private final List<StreamAppender> appenders = new ArrayList<>();
+  private final StreamReplica<SheetLedger> configReplica;
+  private final Configuration configuration;
+  private final VmDirectory directory;
+  private final Membership membership;
+  private final PeerServer peerServer;
+  private final Dispatcher dispatcher;
+  private final List<Cell> cells = new ArrayList<>();
+  private final List<CellOwner> owners = new ArrayList<>();
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final Server server;
+  private final AdminServer adminServer;
+  private final EntryAddresses addresses;
+  private volatile boolean draining;
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings checked settings
+   */
+  public Entry(EntrySettings settings) {
+    this.settings = settings;
+    this.name = settings.vm() + "-" + UUID.randomUUID();
+    Log log = new HttpLog(settings.logAddress(), PLATFORM_TIMEOUT);
+    directory =
+        new VmDirectory(
+            new HttpVmList(settings.vmListAddress(), PLATFORM_TIMEOUT), VM_LIST_POLL_MILLIS);
+    peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
+    configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
+    configuration = new Configuration(configReplica);
+    membership = new Membership(this::self, directory, settings.heartbeatMillis());
+    AppendBudget budget =
+        new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
+    StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
+    ClaimCoordinator claims =
+        new ClaimCoordinator(name, claimReplica, appender(claimReplica, log, budget));
+    dispatcher =
+        new Dispatcher(
+            new HttpExecutorClient(settings.bodyLimitBytes()), directory, settings.ringSize());
+    for (String cell : settings.cells().split(",", -1)) {
+      addCell(cell.strip(), log, budget);
+    }
+    JobDesk desk = new JobDesk(cells, settings.claimWaitMillis());
+    server = startServer(claims, desk);
+    adminServer =
+        new AdminServer(
+            new InetSocketAddress(settings.host(), settings.adminPort()),
+            this::isReady,
+            this::dump,
+            metrics.registry());
+    addresses = boundAddresses();
+    addGauges();
+    replicas.forEach(StreamReplica::start);
+    directory.start();
+    membership.start();
+    owners.forEach(CellOwner::start);
+    EventLog.info(
+        LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
+  }
+
+  private <F extends Fold> StreamReplica<F> replica(String stream, Log log, F fold) {
+    StreamReplica<F> replica = new StreamReplica<>(stream, log, fold);
+    replicas.add(replica);
+    return replica;
+  }
+
+  private StreamAppender appender(StreamReplica<?> replica, Log log, AppendBudget budget) {
+    StreamAppender appender = new StreamAppender(name, replica, log, budget, settings.ringSize());
+    appenders.add(appender);
+    return appender;
+  }
+
+  private void addCell(String cellName, Log log, AppendBudget budget) {
+    StreamReplica<CellLedger> replica =
+        replica(Cell.streamName(cellName), log, new CellLedger(settings.clockSkewMillis()));
+    Cell cell = new Cell(cellName, replica, appender(replica, log, budget));
+    cells.add(cell);
+    owners.add(
+        new CellOwner(name, settings, cell, directory, new HttpWorkerClient(PLATFORM_TIMEOUT)));
+  }
+
+  private Server startServer(ClaimCoordinator claims, JobDesk desk) {
+    JobService jobs = new JobService(configuration, desk, this::isReady);
+    ServerBuilder builder =
+        Server.builder()
+            .http(new InetSocketAddress(settings.host(), settings.httpPort()))
+            .requestTimeoutMillis(0)
+            .maxRequestLength(settings.bodyLimitBytes() + 1L)
+            .gracefulShutdownTimeout(
+                Duration.ofMillis(DRAIN_POLL_MILLIS), Duration.ofMillis(settings.drainMillis()))
+            .service(
+                "/v1/workspaces/{workspace}/services/{service}/requests",
+                new RequestService(settings, configuration, claims, dispatcher, this::isReady))
+            .service("/v1/workspaces/{workspace}/jobs", jobs)
+            .service("/v1/workspaces/{workspace}/jobs/{job}", jobs);
+    Server started = builder.build();
+    started.start().join();
+    return started;
+  }
+
+  private EntryAddresses boundAddresses() {
+    return new EntryAddresses(
+        settings.host() + ":" + server.activeLocalPort(),
+        settings.host() + ":" + adminServer.port(),
+        settings.host() + ":" + peerServer.port());
+  }
+
+  private void addGauges() {
+    metrics.gauge(
+        "lavenderstage_sheet_version",
+        "Version of the sheet.",
+        () -> configuration.inForce().version());
+    metrics.gauge(
+        "lavenderstage_queued_requests", "Requests that wait.", () -> dispatcher.queued());
+    metrics.gauge(
+        "lavenderstage_inflight_requests", "Requests at executors.", () -> dispatcher.inFlight());
+    metrics.gauge("lavenderstage_live_entries", "Live entries.", () -> membership.live().size());
+    metrics.gauge(
+        "lavenderstage_log_lag_records",
+        "Records that the log holds beyond this entry's copies.",
+        () -> replicas.stream().mapToLong(StreamReplica::lag).sum());
+  }
+
+  private Member self() {
+    return new Member(
+        name,
+        settings.vm(),
+        settings.domain(),
+        settings.host() + ":" + peerServer.port(),
+        configuration.inForce().version(),
+        configReplica.read(stream -> stream.nextOffset()),
+        configReplica.read(stream -> stream.fold().digest()),
+        draining);
+  }
+
+  private Optional<PeerMessage> handlePeer(PeerMessage message) {
+    if (message instanceof Heartbeat heartbeat) {
+      membership.heard(heartbeat);
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Tells whether this entry takes new work.
+   *
+   * @return whether its folds are at the end of the log and it is not draining
+   */
+  public boolean isReady() {
+    return !draining
+        && directory.isKnown()
+        && replicas.stream().allMatch(StreamReplica::isCaughtUp);
+  }
+
+  /**
+   * Returns where this entry listens.
+   *
+   * @return the addresses
+   */
+  public EntryAddresses addresses() {
+    return addresses;
+  }
+
+  /**
+   * Dumps what this entry knows, without tokens.
+   *
+   * @return the dump
+   */
+  public StateDump dump() {
+    return new StateDump(
+        name,
+        settings.vm(),
+        isReady(),
+        configuration.inForce().version(),
+        replicas.stream().map(Entry::dump).toList(),
+        cells.stream().map(Entry::dump).toList(),
+        membership.live(),
+        dispatcher.queued(),
+        dispatcher.inFlight());
+  }
+
+  private static <F extends Fold> StateDump.StreamDump dump(StreamReplica<F> replica) {
+    return replica.read(
+        stream ->
+            new StateDump.StreamDump(
+                replica.stream(),
+                stream.nextOffset(),
+                stream.fold().digest(),
+                replica.isReachable(),
+                stream.duplicateBatches(),
+                stream.unknownRecords(),
+                stream.invalidRecords()));
+  }
+
+  private static StateDump.CellDump dump(Cell cell) {
+    return cell.replica()
+        .read(
+            stream -> {
+              CellLedger ledger = stream.fold();
+              return new StateDump.CellDump(
+                  cell.name(),
+                  ledger.ownership().owner().orElse(""),
+                  ledger.ownership().epoch(),
+                  ledger.workers().size(),
+                  ledger.jobs().size(),
+                  ledger.jobs().stream().filter(job -> job.phase() == JobPhase.PLACED).count());
+            });
+  }
+
+  /** Stops gracefully: takes no new work, answers what is in flight and gives its cells up. */
+  @Override
+  public void close() {
+    draining = true;
+    EventLog.info(LogEvent.ENTRY_DRAINING, "entry", name);
+    owners.forEach(CellOwner::drain);
+    awaitIdle();
+    server.stop().join();
+    owners.forEach(CellOwner::close);
+    closeNow();
+    EventLog.info(LogEvent.ENTRY_STOPPED, "entry", name);
+  }
+
+  private void awaitIdle() {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMillis());
+    try {
+      while (System.nanoTime() < until && dispatcher.queued() + dispatcher.inFlight() > 0) {
+        TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Stops without any answer or handover, as a killed process would. */
+  public void kill() {
+    CompletableFuture<?> unused = server.closeAsync();
+    owners.forEach(CellOwner::close);
+    closeNow();
+  }
+
+  private void closeNow() {
+    membership.close();
+    directory.close();
+    dispatcher.close();
+    appenders.forEach(StreamAppender::close);
+    replicas.forEach(StreamReplica::close);
+    peerServer.close();
+    adminServer.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/EntryCommand.java
@@ -0,0 +1,74 @@
+package org.lavenderstage.entry;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.settings.EntrySettings;
+import org.lavenderstage.wire.settings.SettingError;
+import org.lavenderstage.wire.settings.SettingValues;
+import org.lavenderstage.wire.settings.SettingsReader;
+
+/** The daemon's command line: checks the settings, runs an entry until the process is stopped. */
+public final class EntryCommand {
+  private static final int USAGE_ERROR = 2;
+
+  private EntryCommand() {}
+
+  /**
+   * Runs the daemon until it is stopped.
+   *
+   * @param arguments the flags
+   * @param environment the environment variables
+   * @param out for the help and the addresses
+   * @param err for errors
+   * @return exit code: 0 after the help or a stop, 2 for wrong settings
+   * @throws InterruptedException where the main thread is interrupted
+   */
+  public static int run(
+      String[] arguments, Map<String, String> environment, PrintStream out, PrintStream err)
+      throws InterruptedException {
+    EntrySettings.Flags flags = new EntrySettings.Flags();
+    JCommander commander =
+        JCommander.newBuilder().programName("lavenderstage entry").addObject(flags).build();
+    try {
+      commander.parse(arguments);
+    } catch (ParameterException e) {
+      err.println(e.getMessage());
+      return USAGE_ERROR;
+    }
+    if (flags.help()) {
+      StringBuilder usage = new StringBuilder();
+      commander.getUsageFormatter().usage(usage);
+      out.println(usage);
+      return 0;
+    }
+    Either<List<SettingError>, SettingValues> values = SettingsReader.read(flags, environment);
+    if (values.isLeft()) {
+      values.getLeft().forEach(err::println);
+      return USAGE_ERROR;
+    }
+    serve(EntrySettings.of(values.get()), out);
+    return 0;
+  }
+
+  private static void serve(EntrySettings settings, PrintStream out) throws InterruptedException {
+    EventLog.useJson(settings.logFormat().equals("json"));
+    Entry entry = new Entry(settings);
+    out.println(entry.addresses());
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  entry.close();
+                  stopped.countDown();
+                },
+                "shutdown"));
+    stopped.await();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/admin/AdminServer.java
@@ -0,0 +1,89 @@
+package org.lavenderstage.entry.admin;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.Server;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.lavenderstage.wire.codec.JsonCodec;
+
+/** Serves {@code /healthz}, {@code /readyz}, {@code /metrics} and {@code /state} to operators. */
+public final class AdminServer implements AutoCloseable {
+  private final BooleanSupplier ready;
+  private final Supplier<StateDump> state;
+  private final PrometheusRegistry metrics;
+  private final Server server;
+
+  /**
+   * Starts to serve.
+   *
+   * @param address address and port, 0 for a free one
+   * @param ready whether the entry takes new work
+   * @param state dumps what the entry knows
+   * @param metrics the entry's metrics
+   */
+  public AdminServer(
+      InetSocketAddress address,
+      BooleanSupplier ready,
+      Supplier<StateDump> state,
+      PrometheusRegistry metrics) {
+    this.ready = ready;
+    this.state = state;
+    this.metrics = metrics;
+    this.server =
+        Server.builder()
+            .http(address)
+            .service("/healthz", (context, request) -> HttpResponse.of("ok\n"))
+            .service("/readyz", (context, request) -> readiness())
+            .service("/state", (context, request) -> dump())
+            .service("/metrics", (context, request) -> exposition())
+            .build();
+    server.start().join();
+  }
+
+  private HttpResponse readiness() {
+    return ready.getAsBoolean()
+        ? HttpResponse.of("ready\n")
+        : HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE, MediaType.PLAIN_TEXT_UTF_8, "unready\n");
+  }
+
+  private HttpResponse dump() {
+    return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JsonCodec.encode(state.get()));
+  }
+
+  private HttpResponse exposition() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, metrics.scrape());
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.INTERNAL_SERVER_ERROR);
+    }
+    return HttpResponse.of(
+        HttpStatus.OK,
+        MediaType.parse(PrometheusTextFormatWriter.CONTENT_TYPE),
+        HttpData.wrap(out.toByteArray()));
+  }
+
+  /**
+   * Returns the port.
+   *
+   * @return the port that the server listens on
+   */
+  public int port() {
+    return server.activeLocalPort();
+  }
+
+  /** Stops to listen; does not wait until the server's threads have ended. */
+  @Override
+  public void close() {
+    CompletableFuture<?> unused = server.stop();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/admin/EntryMetrics.java
@@ -0,0 +1,57 @@
+package org.lavenderstage.entry.admin;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.DoubleSupplier;
+
+/** The entry's metrics. */
+public final class EntryMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Histogram latency =
+      Histogram.builder()
+          .name("lavenderstage_request_seconds")
+          .help("Time from a request's arrival to its final answer.")
+          .labelNames("service", "outcome")
+          .register(registry);
+
+  /** Makes metrics without values. */
+  public EntryMetrics() {}
+
+  /**
+   * Counts one answered request.
+   *
+   * @param service the service
+   * @param outcome value of the outcome header
+   * @param nanos time from arrival to answer in nanoseconds
+   */
+  public void answered(String service, String outcome, long nanos) {
+    latency.labelValues(service, outcome).observe(nanos / NANOS_PER_SECOND);
+  }
+
+  /**
+   * Adds a gauge.
+   *
+   * @param name name of the metric
+   * @param help explanation for people, with the unit
+   * @param value gives the value
+   */
+  public void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /**
+   * Returns where the metrics are kept.
+   *
+   * @return the registry
+   */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' interface. */
+package org.lavenderstage.entry.admin;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/config/package-info.java
@@ -0,0 +1,2 @@
+/** The sheet in force. */
+package org.lavenderstage.entry.config;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** The order and the routing of requests to executors. */
+package org.lavenderstage.entry.dispatch;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Threads with one duty each. */
+package org.lavenderstage.entry.duty;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The links between the entries. */
+package org.lavenderstage.entry.peer;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/request/CallerAnswer.java
@@ -0,0 +1,67 @@
+package org.lavenderstage.entry.request;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import org.lavenderstage.core.outcome.ResultCode;
+import org.lavenderstage.platform.Headers;
+import org.lavenderstage.wire.codec.JsonCodec;
+import org.lavenderstage.wire.http.ResultBody;
+
+/**
+ * The final answer to a caller.
+ *
+ * @param code result code
+ * @param status HTTP status
+ * @param contentType media type of the body
+ * @param body whole body
+ * @param retryAfterMillis when it makes sense to come back in milliseconds, 0 for no advice
+ */
+public record CallerAnswer(
+    ResultCode code, int status, String contentType, byte[] body, long retryAfterMillis) {
+  private static final String JSON = "application/json; charset=utf-8";
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  /**
+   * Makes an answer of lavenderstage itself.
+   *
+   * @param code result code
+   * @param retryAfterMillis when it makes sense to come back in milliseconds, 0 for no advice
+   * @return the answer
+   */
+  public static CallerAnswer of(ResultCode code, long retryAfterMillis) {
+    ResultBody body = new ResultBody(code.label(), code.outcome().header(), code.message());
+    return new CallerAnswer(code, code.status(), JSON, JsonCodec.encode(body), retryAfterMillis);
+  }
+
+  /**
+   * Makes an answer with a schema message.
+   *
+   * @param code result code
+   * @param message the message
+   * @return the answer
+   */
+  public static CallerAnswer json(ResultCode code, Object message) {
+    return new CallerAnswer(code, code.status(), JSON, JsonCodec.encode(message), 0);
+  }
+
+  /**
+   * Makes the HTTP response.
+   *
+   * @return the response with its outcome headers
+   */
+  public HttpResponse toResponse() {
+    ResponseHeadersBuilder headers =
+        ResponseHeaders.builder(HttpStatus.valueOf(status))
+            .add("content-type", contentType)
+            .add(Headers.OUTCOME, code.outcome().header())
+            .add(Headers.CODE, code.label());
+    if (retryAfterMillis > 0) {
+      long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+      headers.addLong("retry-after", seconds);
+    }
+    return HttpResponse.of(headers.build(), HttpData.wrap(body));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/request/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' interface for service requests. */
+package org.lavenderstage.entry.request;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/task/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs, and the cells that this entry owns. */
+package org.lavenderstage.entry.task;
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/vm/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's list of VMs. */
+package org.lavenderstage.entry.vm;
--- /dev/null
+++ b/launcher/src/main/java/org/lavenderstage/launcher/package-info.java
@@ -0,0 +1,2 @@
+/** The dispatcher of the programs. */
+package org.lavenderstage.launcher;
--- /dev/null
+++ b/launcher/src/test/java/org/lavenderstage/launcher/ModuleArrowsTest.java
@@ -0,0 +1,55 @@
+package org.lavenderstage.launcher;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.junit.jupiter.api.Test;
+
+/** The modules depend on each other in one direction only. */
+class ModuleArrowsTest {
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("org.lavenderstage");
+
+  @Test
+  void modulesPointDownward() {
+    ArchRule rule =
+        layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .layer("core")
+            .definedBy("org.lavenderstage.core..")
+            .layer("wire")
+            .definedBy("org.lavenderstage.wire..")
+            .layer("platform")
+            .definedBy("org.lavenderstage.platform..")
+            .layer("entry")
+            .definedBy("org.lavenderstage.entry..")
+            .layer("ctl")
+            .definedBy("org.lavenderstage.ctl..")
+            .layer("standin")
+            .definedBy("org.lavenderstage.standin..")
+            .layer("bench")
+            .definedBy("org.lavenderstage.bench..")
+            .layer("launcher")
+            .definedBy("org.lavenderstage.launcher..")
+            .whereLayer("launcher")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("entry")
+            .mayOnlyBeAccessedByLayers("launcher")
+            .whereLayer("ctl")
+            .mayOnlyBeAccessedByLayers("launcher")
+            .whereLayer("bench")
+            .mayOnlyBeAccessedByLayers("launcher")
+            .whereLayer("standin")
+            .mayOnlyBeAccessedByLayers("launcher", "bench")
+            .whereLayer("platform")
+            .mayOnlyBeAccessedByLayers("entry", "ctl", "standin", "launcher", "bench")
+            .whereLayer("wire")
+            .mayOnlyBeAccessedByLayers("platform", "entry", "ctl", "standin", "bench", "launcher");
+    rule.check(CLASSES);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/executor/FakeExecutorServer.java
@@ -0,0 +1,150 @@
+package org.lavenderstage.standin.executor;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.lavenderstage.core.ledger.StateDigest;
+import org.lavenderstage.platform.Headers;
+import org.lavenderstage.standin.FakeServer;
+import org.lavenderstage.standin.fault.FaultGate;
+import org.lavenderstage.standin.fault.FaultSwitch;
+
+/**
+ * An executor with slots. It answers with the workspace and the digest of the request's body, so
+ * that a caller can tell whether an answer is its own and whole.
+ */
+public final class FakeExecutorServer implements AutoCloseable {
+  private final int slots;
+  private final int serviceMillis;
+  private final RunLedger runs;
+  private final FaultSwitch faults;
+  private final FaultGate gate;
+  private final FakeServer server;
+  private final AtomicInteger busy = new AtomicInteger();
+  private final LongAdder started = new LongAdder();
+  private final LongAdder ninth = new LongAdder();
+
+  /**
+   * Starts the server.
+   *
+   * @param port the port, 0 for a free one
+   * @param slots most requests at one time
+   * @param serviceMillis time that a request takes in milliseconds
+   * @param runs counts the runs of each key
+   * @param faults the faults
+   * @param seed seed of the faults
+   */
+  public FakeExecutorServer(
+      int port, int slots, int serviceMillis, RunLedger runs, FaultSwitch faults, long seed) {
+    this.slots = slots;
+    this.serviceMillis = serviceMillis;
+    this.runs = runs;
+    this.faults = faults;
+    this.gate = new FaultGate(faults, seed);
+    this.server =
+        FakeServer.start(FakeServer.builder(port, faults).service("/execute", this::execute));
+  }
+
+  private HttpResponse execute(ServiceRequestContext context, HttpRequest request) {
+    return HttpResponse.of(
+        request.aggregate().thenApply(aggregated -> execute(context, aggregated)));
+  }
+
+  private HttpResponse execute(ServiceRequestContext context, AggregatedHttpRequest request) {
+    if (faults.isOn(FaultSwitch.Kind.DOWN) || faults.isOn(FaultSwitch.Kind.FAIL_ALL)) {
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    if (busy.incrementAndGet() > slots) {
+      ninth.increment();
+      busy.decrementAndGet();
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    started.increment();
+    runs.started(header(request, Headers.WORKSPACE), header(request, Headers.IDEMPOTENCY_KEY));
+    Duration delay = Duration.ofMillis(serviceMillis + faults.value(FaultSwitch.Kind.SLOW));
+    HttpResponse answer = answer(request);
+    return HttpResponse.delayed(
+        () -> {
+          busy.decrementAndGet();
+          return answer;
+        },
+        delay,
+        context.eventLoop());
+  }
+
+  private HttpResponse answer(AggregatedHttpRequest request) {
+    String body = answerBody(header(request, Headers.WORKSPACE), request.content().array());
+    String id = header(request, Headers.REQUEST_ID);
+    if (gate.strikes(FaultSwitch.Kind.LOSE_ANSWERS)) {
+      return HttpResponse.ofFailure(new IllegalStateException("the answer is lost"));
+    }
+    if (gate.strikes(FaultSwitch.Kind.CROSS_ANSWERS)) {
+      id = "crossed-" + id;
+    }
+    ResponseHeaders headers =
+        ResponseHeaders.builder(HttpStatus.OK)
+            .add("content-type", "text/plain; charset=utf-8")
+            .add(Headers.REQUEST_ID, id)
+            .contentLength(body.length())
+            .build();
+    if (gate.strikes(FaultSwitch.Kind.CUT_ANSWERS)) {
+      return cut(headers, body);
+    }
+    return HttpResponse.of(headers, HttpData.ofUtf8(body));
+  }
+
+  private static HttpResponse cut(ResponseHeaders headers, String body) {
+    var streaming = HttpResponse.streaming();
+    streaming.write(headers);
+    streaming.write(HttpData.ofUtf8(body.substring(0, body.length() / 2)));
+    streaming.close(new IllegalStateException("the answer is cut"));
+    return streaming;
+  }
+
+  /**
+   * Returns the answer that a request must get.
+   *
+   * @param workspace workspace of the caller
+   * @param requestBody body of the request
+   * @return the body of the answer
+   */
+  public static String answerBody(String workspace, byte[] requestBody) {
+    String text = new String(requestBody, StandardCharsets.UTF_8);
+    return "workspace=" + workspace + " digest=" + StateDigest.sha256Hex(text);
+  }
+
+  private static String header(AggregatedHttpRequest request, String name) {
+    return request.headers().get(name, "");
+  }
+
+  /**
+   * Returns what the executor recorded.
+   *
+   * @return the counts
+   */
+  public ExecutorRecord record() {
+    return new ExecutorRecord(started.sum(), ninth.sum());
+  }
+
+  /**
+   * Returns where the server listens.
+   *
+   * @return host and port
+   */
+  public String address() {
+    return server.address();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/executor/package-info.java
@@ -0,0 +1,2 @@
+/** The fake executor. */
+package org.lavenderstage.standin.executor;
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that are switched on over HTTP. */
+package org.lavenderstage.standin.fault;
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/log/package-info.java
@@ -0,0 +1,2 @@
+/** The fake log. */
+package org.lavenderstage.standin.log;
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/vmlist/package-info.java
@@ -0,0 +1,2 @@
+/** The fake list of VMs. */
+package org.lavenderstage.standin.vmlist;
--- /dev/null
+++ b/standin/src/main/java/org/lavenderstage/standin/worker/package-info.java
@@ -0,0 +1,2 @@
+/** The fake worker. */
+package org.lavenderstage.standin.worker;
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/csv/package-info.java
@@ -0,0 +1,2 @@
+/** The sheet's CSV. */
+package org.lavenderstage.wire.csv;
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.lavenderstage.wire.event;
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.lavenderstage.wire.peer;
+
+/** A message between two entries. */
+public sealed interface PeerMessage permits AnswerQuery, AnswerReply, Heartbeat {}
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the entries, generated from schema/peer.yaml. */
+package org.lavenderstage.wire.peer;
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/settings/SettingValues.java
@@ -0,0 +1,32 @@
+package org.lavenderstage.wire.settings;
+
+import java.util.Map;
+
+/** Checked values of all settings of a program. */
+public final class SettingValues {
+  private final Map<String, String> values;
+
+  SettingValues(Map<String, String> values) {
+    this.values = Map.copyOf(values);
+  }
+
+  /**
+   * Returns a whole number.
+   *
+   * @param name name of the setting
+   * @return the value
+   */
+  public int integer(String name) {
+    return Integer.parseInt(values.get(name));
+  }
+
+  /**
+   * Returns a text.
+   *
+   * @param name name of the setting
+   * @return the value
+   */
+  public String text(String name) {
+    return values.get(name);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/lavenderstage/wire/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the programs, generated from schema/settings.yaml, and their checks. */
+package org.lavenderstage.wire.settings;
