--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/PolicyFlags.java
@@ -0,0 +1,21 @@
+package org.lavenderstage.bench;
+
+import com.beust.jcommander.Parameter;
+
+/** Flags of {@code bench policy}. */
+final class PolicyFlags {
+  @Parameter(names = "--scenario", description = "number of a case, or all")
+  String scenario = "all";
+
+  @Parameter(names = "--seed", description = "the first seed")
+  long seed = 1;
+
+  @Parameter(names = "--seeds", description = "count of seeds")
+  int seeds = 3;
+
+  @Parameter(names = "--json", description = "file that the table is written to as JSON")
+  String json = "";
+
+  @Parameter(names = "--help", help = true, description = "prints the flags")
+  boolean help;
+}
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load tool against running entries. */
+package org.lavenderstage.bench.load;
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/request/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on requests: admission, routing, retries. */
+package org.lavenderstage.bench.request;
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/speed/package-info.java
@@ -0,0 +1,2 @@
+/** Speed of the core on one thread. */
+package org.lavenderstage.bench.speed;
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/task/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on tasks: placement, interference, evictions. */
+package org.lavenderstage.bench.task;
