Put the planner of a cell behind an interface

The owner of a cell executes planned actions; which job goes where, and what is throttled or evicted, is the planner's.

--- a/entry/src/main/java/org/lavenderstage/entry/task/CellOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/task/CellOwner.java
@@ -9,8 +9,9 @@
 import org.lavenderstage.core.ledger.cell.CellOwnership;
 import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.cell.JobState;
-import org.lavenderstage.core.ledger.cell.WorkerState;
-import org.lavenderstage.core.placement.TaskPlacer;
+import org.lavenderstage.core.placement.BestFitPlanner;
+import org.lavenderstage.core.placement.CellPlanner;
+import org.lavenderstage.core.placement.PlannedAction;
 import org.lavenderstage.core.record.AttemptEnded;
 import org.lavenderstage.core.record.CellClaimed;
 import org.lavenderstage.core.record.CellReleased;
@@ -48,6 +49,7 @@
   private final VmDirectory directory;
   private final WorkerClient workers;
   private final Map<String, RunningAttempt> attempts = new HashMap<>();
+  private final CellPlanner planner = new BestFitPlanner(MAX_PLACEMENTS);
   private final Pacer claims;
   private final Pacer renewals;
   private final Pacer registrations = new Pacer(PROPOSAL_MILLIS);
@@ -156,24 +158,17 @@
   }
 
   private List<TaskPlaced> placements(CellLedger ledger, long untilMillis) {
-    return ledger.jobs().stream()
-        .filter(job -> job.phase() == JobPhase.ACCEPTED)
-        .limit(MAX_PLACEMENTS)
-        .flatMap(
-            job ->
-                TaskPlacer.choose(job, ledger.workers()).stream()
-                    .map(worker -> placement(job, worker, untilMillis)))
+    return planner.plan(ledger, cell.replica().logNowMillis()).stream()
+        .filter(PlannedAction.Place.class::isInstance)
+        .map(PlannedAction.Place.class::cast)
+        .map(place -> placement(place, ledger, untilMillis))
         .toList();
   }
 
-  private TaskPlaced placement(JobState job, WorkerState worker, long untilMillis) {
+  private TaskPlaced placement(PlannedAction.Place place, CellLedger ledger, long untilMillis) {
+    int attempt = ledger.job(place.job()).map(JobState::attempt).orElse(0) + 1;
     return new TaskPlaced(
-        job.accepted().job(),
-        job.attempt() + 1,
-        worker.registered().worker(),
-        cell.name(),
-        ownedEpoch,
-        untilMillis);
+        place.job(), attempt, place.worker(), cell.name(), ownedEpoch, untilMillis);
   }
 
   private void superviseAttempts() {
