--- a/core/src/main/java/org/lavenderstage/core/ledger/Fold.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/Fold.java
@@ -22,4 +22,19 @@
    * @return hexadecimal digits
    */
   String digest();
+
+  /**
+   * Copies the whole state.
+   *
+   * @return a state from which {@link #restore} makes an equal fold
+   */
+  FoldState snapshot();
+
+  /**
+   * Replaces the whole state.
+   *
+   * @param state a state that {@link #snapshot} of the same kind of fold gave
+   * @throws IllegalArgumentException where the state is of another kind of fold
+   */
+  void restore(FoldState state);
 }
--- a/core/src/main/java/org/lavenderstage/core/ledger/LedgerStream.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/LedgerStream.java
@@ -1,9 +1,12 @@
 package org.lavenderstage.core.ledger;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.lavenderstage.core.record.LedgerRecord;
 import org.lavenderstage.core.record.RecordBatch;
+import org.lavenderstage.core.record.SnapshotCommitted;
+import org.lavenderstage.core.record.SnapshotPart;
 
 /**
  * Applies the batches of one stream to its fold. A batch whose number is not above the last one of
@@ -13,9 +16,14 @@
  * @param <F> type of the fold
  */
 public final class LedgerStream<F extends Fold> {
+  /** Time without a batch after which a writer is forgotten, in milliseconds of append time. */
+  private static final long WRITER_RETENTION_MILLIS = 24L * 3600 * 1000;
+
   private final F fold;
-  private final Map<String, Long> lastSequences = new TreeMap<>();
+  private final Map<String, WriterMark> writers = new TreeMap<>();
   private long nextOffset;
+  private long lastSnapshotOffset = -1;
+  private long lastSnapshotTimeMillis;
   private long lastAppendTimeMillis;
   private long duplicateBatches;
   private long unknownRecords;
@@ -43,14 +51,14 @@
     }
     nextOffset = at.offset() + 1;
     lastAppendTimeMillis = at.appendTimeMillis();
-    if (batch.sequence() <= lastSequences.getOrDefault(batch.writer(), 0L)) {
+    if (batch.sequence() <= lastSequence(batch.writer())) {
       duplicateBatches++;
       return;
     }
-    lastSequences.put(batch.writer(), batch.sequence());
+    mark(at, batch);
     unknownRecords += batch.unknownRecords();
     for (LedgerRecord record : batch.records()) {
-      boolean effective = fold.apply(at, record);
+      boolean effective = judge(at, record);
       if (!effective) {
         invalidRecords++;
       }
@@ -58,6 +66,49 @@
     }
   }
 
+  private boolean judge(RecordPosition at, LedgerRecord record) {
+    return switch (record) {
+      case SnapshotPart part -> true;
+      case SnapshotCommitted committed -> {
+        lastSnapshotOffset = committed.coveredOffset();
+        lastSnapshotTimeMillis = at.appendTimeMillis();
+        yield true;
+      }
+      default -> fold.apply(at, record);
+    };
+  }
+
+  private void mark(RecordPosition at, RecordBatch batch) {
+    WriterMark mark = new WriterMark(batch.writer(), batch.sequence(), at.appendTimeMillis());
+    if (writers.put(batch.writer(), mark) == null) {
+      long oldest = at.appendTimeMillis() - WRITER_RETENTION_MILLIS;
+      writers.values().removeIf(known -> known.appendTimeMillis() < oldest);
+    }
+  }
+
+  /**
+   * Copies the state after the last record.
+   *
+   * @return the state
+   */
+  public StreamState snapshot() {
+    return new StreamState(
+        nextOffset, lastAppendTimeMillis, List.copyOf(writers.values()), fold.snapshot());
+  }
+
+  /**
+   * Replaces the state.
+   *
+   * @param state a state of the same stream
+   */
+  public void restore(StreamState state) {
+    fold.restore(state.fold());
+    nextOffset = state.nextOffset();
+    lastAppendTimeMillis = state.lastAppendTimeMillis();
+    writers.clear();
+    state.writers().forEach(mark -> writers.put(mark.writer(), mark));
+  }
+
   /**
    * Returns the number of the last batch of a writer that was read.
    *
@@ -65,7 +116,8 @@
    * @return the number, 0 for none
    */
   public long lastSequence(String writer) {
-    return lastSequences.getOrDefault(writer, 0L);
+    WriterMark mark = writers.get(writer);
+    return mark == null ? 0 : mark.sequence();
   }
 
   /**
@@ -95,6 +147,24 @@
     return lastAppendTimeMillis;
   }
 
+  /**
+   * Returns the last offset that the newest snapshot in the stream covers.
+   *
+   * @return the offset, -1 where none was read
+   */
+  public long lastSnapshotOffset() {
+    return lastSnapshotOffset;
+  }
+
+  /**
+   * Returns the append time of the newest snapshot in the stream.
+   *
+   * @return milliseconds since 1970, 0 where none was read
+   */
+  public long lastSnapshotTimeMillis() {
+    return lastSnapshotTimeMillis;
+  }
+
   /**
    * Counts batches that were read a second time.
    *
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/ledger/SnapshotAssembler.java
@@ -0,0 +1,68 @@
+package org.lavenderstage.core.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lavenderstage.core.record.LedgerRecord;
+import org.lavenderstage.core.record.SnapshotCommitted;
+import org.lavenderstage.core.record.SnapshotPart;
+
+/**
+ * Gathers the parts of snapshots while a stream is searched for one. Parts that are doubled, in
+ * another order or of a snapshot without a commit do no harm.
+ */
+public final class SnapshotAssembler {
+  private final Map<String, Map<Integer, byte[]>> parts = new HashMap<>();
+
+  /** Starts without parts. */
+  public SnapshotAssembler() {}
+
+  /**
+   * Takes one record.
+   *
+   * @param record any record of the stream
+   * @return the bytes of a snapshot, present where the record completes one
+   */
+  public Optional<byte[]> take(LedgerRecord record) {
+    return switch (record) {
+      case SnapshotPart part -> {
+        parts
+            .computeIfAbsent(part.snapshot(), snapshot -> new HashMap<>())
+            .putIfAbsent(part.index(), part.content());
+        yield Optional.empty();
+      }
+      case SnapshotCommitted committed -> complete(committed);
+      default -> Optional.empty();
+    };
+  }
+
+  private Optional<byte[]> complete(SnapshotCommitted committed) {
+    Map<Integer, byte[]> known = parts.remove(committed.snapshot());
+    if (known == null || known.size() != committed.parts()) {
+      return Optional.empty();
+    }
+    List<byte[]> ordered = new ArrayList<>();
+    int length = 0;
+    for (int i = 0; i < committed.parts(); i++) {
+      byte[] part = known.get(i);
+      if (part == null) {
+        return Optional.empty();
+      }
+      ordered.add(part);
+      length += part.length;
+    }
+    return Optional.of(joined(ordered, length));
+  }
+
+  private static byte[] joined(List<byte[]> parts, int length) {
+    byte[] whole = new byte[length];
+    int at = 0;
+    for (byte[] part : parts) {
+      System.arraycopy(part, 0, whole, at, part.length);
+      at += part.length;
+    }
+    return whole;
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.FoldState;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.StateDigest;
 import org.lavenderstage.core.placement.Resources;
@@ -263,4 +264,21 @@
   public String digest() {
     return new StateDigest().add(ownership).add(workers).add(jobs).hex();
   }
+
+  @Override
+  public CellState snapshot() {
+    return new CellState(ownership, List.copyOf(workers.values()), List.copyOf(jobs.values()));
+  }
+
+  @Override
+  public void restore(FoldState state) {
+    if (!(state instanceof CellState cell)) {
+      throw new IllegalArgumentException("no state of a cell: " + state.getClass());
+    }
+    ownership = cell.ownership();
+    workers.clear();
+    cell.workers().forEach(worker -> workers.put(worker.registered().worker(), worker));
+    jobs.clear();
+    cell.jobs().forEach(job -> jobs.put(job.accepted().job(), job));
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.FoldState;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.StateDigest;
 import org.lavenderstage.core.record.LedgerRecord;
@@ -91,4 +92,21 @@
   public String digest() {
     return new StateDigest().add(claims).hex();
   }
+
+  @Override
+  public ClaimsState snapshot() {
+    return new ClaimsState(
+        claims.entrySet().stream()
+            .map(entry -> new ClaimsState.KeyedClaim(entry.getKey(), entry.getValue()))
+            .toList());
+  }
+
+  @Override
+  public void restore(FoldState state) {
+    if (!(state instanceof ClaimsState kept)) {
+      throw new IllegalArgumentException("no state of claims: " + state.getClass());
+    }
+    claims.clear();
+    kept.claims().forEach(keyed -> claims.put(keyed.key(), keyed.claim()));
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/sheet/SheetLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/sheet/SheetLedger.java
@@ -1,8 +1,11 @@
 package org.lavenderstage.core.sheet;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.FoldState;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.StateDigest;
 import org.lavenderstage.core.record.LedgerRecord;
@@ -65,4 +68,23 @@
   public String digest() {
     return new StateDigest().add(current).add(parts).hex();
   }
+
+  @Override
+  public SheetState snapshot() {
+    List<SheetPart> waiting = new ArrayList<>();
+    parts.forEach(
+        (sheet, known) ->
+            known.forEach((index, text) -> waiting.add(new SheetPart(sheet, index, text))));
+    return new SheetState(current, waiting);
+  }
+
+  @Override
+  public void restore(FoldState state) {
+    if (!(state instanceof SheetState kept)) {
+      throw new IllegalArgumentException("no state of the configuration: " + state.getClass());
+    }
+    current = kept.current();
+    parts.clear();
+    kept.parts().forEach(this::keep);
+  }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -22,9 +22,11 @@
 import org.lavenderstage.entry.config.Configuration;
 import org.lavenderstage.entry.dispatch.Dispatcher;
 import org.lavenderstage.entry.log.AppendBudget;
+import org.lavenderstage.entry.log.SnapshotWriter;
 import org.lavenderstage.entry.log.StreamAppender;
 import org.lavenderstage.entry.log.StreamReplica;
 import org.lavenderstage.entry.peer.Membership;
+import org.lavenderstage.entry.peer.PeerRecovery;
 import org.lavenderstage.entry.peer.PeerServer;
 import org.lavenderstage.entry.request.ClaimCoordinator;
 import org.lavenderstage.entry.request.RequestService;
@@ -34,14 +36,11 @@
 import org.lavenderstage.entry.task.JobService;
 import org.lavenderstage.entry.vm.VmDirectory;
 import org.lavenderstage.platform.Log;
-import org.lavenderstage.platform.http.HttpExecutorClient;
-import org.lavenderstage.platform.http.HttpLog;
-import org.lavenderstage.platform.http.HttpVmList;
-import org.lavenderstage.platform.http.HttpWorkerClient;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.peer.SnapshotQuery;
 import org.lavenderstage.wire.settings.EntrySettings;
 
 /** One entry: all its duties and ports, as a library; the daemon is a thin shell around it. */
@@ -52,7 +51,6 @@
   /** Stream of the claims. */
   public static final String CLAIM_STREAM = "claims";
 
-  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
   private static final long VM_LIST_POLL_MILLIS = 500;
   private static final long DRAIN_POLL_MILLIS = 20;
 
@@ -72,35 +70,52 @@
   private final Server server;
   private final AdminServer adminServer;
   private final EntryAddresses addresses;
+  private final List<SnapshotWriter.SnapshotStream> snapshotStreams = new ArrayList<>();
+  private final SnapshotWriter snapshots;
+  private final PeerRecovery recovery;
   private volatile boolean draining;
 
   /**
-   * Starts an entry.
+   * Starts an entry that reaches the platform over HTTP.
    *
    * @param settings checked settings
    */
   public Entry(EntrySettings settings) {
+    this(settings, PlatformClients.http(settings));
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings checked settings
+   * @param clients reach everything outside of the entry
+   */
+  public Entry(EntrySettings settings, PlatformClients clients) {
     this.settings = settings;
     this.name = settings.vm() + "-" + UUID.randomUUID();
-    Log log = new HttpLog(settings.logAddress(), PLATFORM_TIMEOUT);
-    directory =
-        new VmDirectory(
-            new HttpVmList(settings.vmListAddress(), PLATFORM_TIMEOUT), VM_LIST_POLL_MILLIS);
+    Log log = clients.log();
+    directory = new VmDirectory(clients.vmList(), VM_LIST_POLL_MILLIS);
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
     configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
     configuration = new Configuration(configReplica);
     membership = new Membership(this::self, directory, settings.heartbeatMillis());
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
+    appender(configReplica, log, budget);
     StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
     ClaimCoordinator claims =
         new ClaimCoordinator(name, claimReplica, appender(claimReplica, log, budget));
-    dispatcher =
-        new Dispatcher(
-            new HttpExecutorClient(settings.bodyLimitBytes()), directory, settings.ringSize());
+    dispatcher = new Dispatcher(clients.executors(), directory, settings.ringSize());
     for (String cell : settings.cells().split(",", -1)) {
-      addCell(cell.strip(), log, budget);
+      addCell(cell.strip(), clients, budget);
     }
+    snapshots =
+        new SnapshotWriter(
+            snapshotStreams,
+            settings.logRetentionMillis(),
+            settings.snapshotRecords(),
+            this::isFirst);
+    recovery = new PeerRecovery(settings.host() + ":" + peerServer.port(), directory, replicas);
     JobDesk desk = new JobDesk(cells, settings.claimWaitMillis());
     server = startServer(claims, desk);
     adminServer =
@@ -111,10 +126,13 @@
             metrics.registry());
     addresses = boundAddresses();
     addGauges();
+    peerServer.start();
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
     owners.forEach(CellOwner::start);
+    recovery.start();
+    snapshots.start();
     EventLog.info(
         LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
   }
@@ -128,16 +146,17 @@
   private StreamAppender appender(StreamReplica<?> replica, Log log, AppendBudget budget) {
     StreamAppender appender = new StreamAppender(name, replica, log, budget, settings.ringSize());
     appenders.add(appender);
+    snapshotStreams.add(new SnapshotWriter.SnapshotStream(replica, appender));
     return appender;
   }
 
-  private void addCell(String cellName, Log log, AppendBudget budget) {
+  private void addCell(String cellName, PlatformClients clients, AppendBudget budget) {
     StreamReplica<CellLedger> replica =
-        replica(Cell.streamName(cellName), log, new CellLedger(settings.clockSkewMillis()));
-    Cell cell = new Cell(cellName, replica, appender(replica, log, budget));
+        replica(
+            Cell.streamName(cellName), clients.log(), new CellLedger(settings.clockSkewMillis()));
+    Cell cell = new Cell(cellName, replica, appender(replica, clients.log(), budget));
     cells.add(cell);
-    owners.add(
-        new CellOwner(name, settings, cell, directory, new HttpWorkerClient(PLATFORM_TIMEOUT)));
+    owners.add(new CellOwner(name, settings, cell, directory, clients.workers()));
   }
 
   private Server startServer(ClaimCoordinator claims, JobDesk desk) {
@@ -195,10 +214,19 @@
   }
 
   private Optional<PeerMessage> handlePeer(PeerMessage message) {
-    if (message instanceof Heartbeat heartbeat) {
-      membership.heard(heartbeat);
-    }
-    return Optional.empty();
+    return switch (message) {
+      case Heartbeat heartbeat -> {
+        membership.heard(heartbeat);
+        yield Optional.empty();
+      }
+      case SnapshotQuery query -> Optional.of(recovery.answer(query));
+      default -> Optional.empty();
+    };
+  }
+
+  /** The first of the live entries by name writes the snapshots. */
+  private boolean isFirst() {
+    return membership.live().get(0).entry().equals(name);
   }
 
   /**
@@ -299,6 +327,8 @@
   }
 
   private void closeNow() {
+    snapshots.close();
+    recovery.close();
     membership.close();
     directory.close();
     dispatcher.close();
--- a/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
+++ b/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
@@ -25,14 +25,19 @@
   public Configuration(StreamReplica<SheetLedger> replica) {
     this.replica = replica;
     replica.observe(this::judged);
+    replica.observeRestore(this::adoptCurrent);
   }
 
   private void judged(RecordPosition at, LedgerRecord record, boolean effective) {
     if (effective && record instanceof SheetCommitted) {
-      adopt(replica.read(stream -> stream.fold().current()));
+      adoptCurrent();
     }
   }
 
+  private void adoptCurrent() {
+    adopt(replica.read(stream -> stream.fold().current()));
+  }
+
   private synchronized void adopt(SheetVersion version) {
     if (version.version() <= inForce.version()) {
       return;
--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import org.lavenderstage.core.record.LedgerRecord;
 import org.lavenderstage.core.record.RecordBatch;
+import org.lavenderstage.core.record.SheetPart;
+import org.lavenderstage.core.record.SnapshotPart;
 import org.lavenderstage.entry.duty.BoundedRing;
 import org.lavenderstage.entry.duty.Duty;
 import org.lavenderstage.platform.Log;
@@ -72,7 +74,7 @@
   }
 
   private void appendOnce() throws InterruptedException {
-    ring.drain(MAX_BATCH, waiting::add);
+    drainBatch();
     if (waiting.isEmpty()) {
       TimeUnit.MILLISECONDS.sleep(IDLE_MILLIS);
       return;
@@ -85,6 +87,21 @@
     }
   }
 
+  /** Ends a batch after a part, so that no record of the log grows beyond one part. */
+  private void drainBatch() {
+    while (waiting.size() < MAX_BATCH && !endsWithPart() && ring.drain(1, waiting::add) > 0) {
+      // one proposal at a time
+    }
+  }
+
+  private boolean endsWithPart() {
+    if (waiting.isEmpty()) {
+      return false;
+    }
+    LedgerRecord last = waiting.get(waiting.size() - 1);
+    return last instanceof SnapshotPart || last instanceof SheetPart;
+  }
+
   private boolean append(byte[] bytes) throws InterruptedException {
     if (isReadBack()) {
       return true;
--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -9,6 +10,7 @@
 import org.lavenderstage.core.ledger.LedgerStream;
 import org.lavenderstage.core.ledger.RecordObserver;
 import org.lavenderstage.core.ledger.RecordPosition;
+import org.lavenderstage.core.ledger.StreamState;
 import org.lavenderstage.core.record.RecordBatch;
 import org.lavenderstage.entry.duty.Duty;
 import org.lavenderstage.platform.Log;
@@ -39,6 +41,8 @@
   private volatile boolean reachable;
   private volatile long clockOffsetMillis;
   private volatile long endOffset;
+  private final List<Runnable> restoreObservers = new CopyOnWriteArrayList<>();
+  private volatile Optional<SnapshotSearch> search = Optional.empty();
   private Duty duty;
 
   /**
@@ -61,12 +65,12 @@
 
   private void readOnce() throws InterruptedException {
     try {
-      LogPage page = log.read(stream, read(LedgerStream::nextOffset), PAGE, WAIT);
+      long from = search.map(SnapshotSearch::nextOffset).orElseGet(this::nextOffset);
+      LogPage page = log.read(stream, from, PAGE, WAIT);
       clockOffsetMillis = page.nowMillis() - System.currentTimeMillis();
       endOffset = page.endOffset();
-      page.records().forEach(this::apply);
       reachable = true;
-      caughtUp = caughtUp || read(LedgerStream::nextOffset) >= page.endOffset();
+      take(page);
     } catch (PlatformUnavailableException e) {
       if (reachable) {
         EventLog.warn(LogEvent.LOG_READ_FAILED, "stream", stream, "cause", e.getMessage());
@@ -76,6 +80,65 @@
     }
   }
 
+  private long nextOffset() {
+    return read(LedgerStream::nextOffset);
+  }
+
+  private void take(LogPage page) {
+    if (search.isEmpty() && page.firstKeptOffset() > nextOffset()) {
+      EventLog.warn(
+          LogEvent.LOG_GAP, "stream", stream, "from", nextOffset(), "to", page.firstKeptOffset());
+      caughtUp = false;
+      search = Optional.of(new SnapshotSearch(page.firstKeptOffset()));
+    }
+    if (search.isPresent()) {
+      search.get().look(page).ifPresent(this::adopt);
+      return;
+    }
+    page.records().forEach(this::apply);
+    caughtUp = caughtUp || nextOffset() >= page.endOffset();
+  }
+
+  /**
+   * Replaces the state by a newer one, from a snapshot or a peer.
+   *
+   * @param state the state
+   * @return whether it was newer and was taken
+   */
+  public boolean adopt(StreamState state) {
+    synchronized (ledger) {
+      if (state.nextOffset() < ledger.nextOffset()) {
+        return false;
+      }
+      ledger.restore(state);
+    }
+    search = Optional.empty();
+    EventLog.info(LogEvent.SNAPSHOT_RESTORED, "stream", stream, "next-offset", state.nextOffset());
+    restoreObservers.forEach(Runnable::run);
+    return true;
+  }
+
+  /**
+   * Replaces the state by a peer's, where the log cannot be read. The copy counts as caught up
+   * then.
+   *
+   * @param state the peer's state
+   */
+  public void adoptFromPeer(StreamState state) {
+    if (!reachable && adopt(state)) {
+      caughtUp = true;
+    }
+  }
+
+  /**
+   * Is told whenever the whole state was replaced.
+   *
+   * @param observer is told
+   */
+  public void observeRestore(Runnable observer) {
+    restoreObservers.add(observer);
+  }
+
   private void apply(StoredRecord record) {
     RecordPosition at = new RecordPosition(record.offset(), record.appendTimeMillis());
     try {
--- a/entry/src/main/java/org/lavenderstage/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/peer/PeerServer.java
@@ -24,7 +24,7 @@
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
   /**
-   * Starts to listen.
+   * Binds the port.
    *
    * @param host address to listen on
    * @param port the port, 0 for a free one
@@ -37,6 +37,10 @@
     } catch (IOException e) {
       throw new UncheckedIOException("cannot listen on " + host + ":" + port, e);
     }
+  }
+
+  /** Starts to accept links; until then peers wait. */
+  public void start() {
     Thread.ofPlatform().daemon().name("peer-accept").start(this::acceptAll);
   }
 
--- a/wire/src/main/java/org/lavenderstage/wire/codec/TaggedMapper.java
+++ b/wire/src/main/java/org/lavenderstage/wire/codec/TaggedMapper.java
@@ -1,9 +1,13 @@
 package org.lavenderstage.wire.codec;
 
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.List;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** Builds MessagePack mappers that tell the records of a sealed interface apart by a kind field. */
@@ -11,12 +15,18 @@
   private TaggedMapper() {}
 
   /** Reads an unknown kind as null, so that versions can be mixed. */
-  static ObjectMapper of(Class<?> sealedInterface) {
+  static ObjectMapper of(Class<?> type) {
+    return of(type, List.of(type.getPermittedSubclasses()));
+  }
+
+  static ObjectMapper of(Class<?> type, List<Class<?>> subtypes) {
     ObjectMapper mapper = new MessagePackMapper();
+    mapper.registerModule(new Jdk8Module());
+    mapper.setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE);
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     mapper.disable(DeserializationFeature.FAIL_ON_INVALID_SUBTYPE);
-    mapper.addMixIn(sealedInterface, KindMixIn.class);
-    for (Class<?> permitted : sealedInterface.getPermittedSubclasses()) {
+    mapper.addMixIn(type, KindMixIn.class);
+    for (Class<?> permitted : subtypes) {
       mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
     }
     return mapper;
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -18,6 +18,12 @@
   LOG_APPEND_FAILED(2002),
   /** A record of the log cannot be read. */
   LOG_RECORD_MALFORMED(2003),
+  /** Records expired before they were read; a snapshot is looked for. */
+  LOG_GAP(2004),
+  /** A stream's state was taken from a snapshot or a peer. */
+  SNAPSHOT_RESTORED(2005),
+  /** A stream's state was written again. */
+  SNAPSHOT_WRITTEN(2006),
   /** A cell has a new owner. */
   CELL_CLAIMED(3001),
   /** A cell's owner gave it up. */
