--- a/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoDeployment.java
+++ b/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoDeployment.java
@@ -5,9 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.lavenderstage.ctl.SheetPublisher;
 import org.lavenderstage.entry.Entry;
+import org.lavenderstage.entry.PlatformClients;
+import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.platform.PlatformUnavailableException;
 import org.lavenderstage.platform.http.HttpLog;
 import org.lavenderstage.standin.executor.FakeExecutorServer;
@@ -42,7 +47,8 @@
   private final FakeVmListServer vmList;
   private final List<FakeExecutorServer> executors = new ArrayList<>();
   private final List<FakeWorkerServer> workers = new ArrayList<>();
-  private final List<Entry> entries = new ArrayList<>();
+  private final List<Entry> entries = new CopyOnWriteArrayList<>();
+  private final Map<Entry, FreezeGate> gates = new ConcurrentHashMap<>();
 
   DemoDeployment(DemoSpec spec, long seed) {
     this.spec = spec;
@@ -87,7 +93,10 @@
   }
 
   private void startEntry(String vm, String domain) {
-    Entry entry = new Entry(settings(vm, domain));
+    EntrySettings settings = settings(vm, domain);
+    FreezeGate gate = new FreezeGate();
+    Entry entry = new Entry(settings, FreezableClients.of(PlatformClients.http(settings), gate));
+    gates.put(entry, gate);
     entries.add(entry);
     vmList.put(vm(vm, entry.addresses().peer(), domain, VmRole.ENTRY, ""));
   }
@@ -126,6 +135,22 @@
     startEntry(spec.name() + "-entry-new", spec.domains().get(0));
   }
 
+  /** Freezes the entry that owns the first cell. */
+  void freezeOwner() {
+    for (Entry entry : entries) {
+      StateDump dump = entry.dump();
+      if (dump.cells().get(0).owner().equals(dump.entry())) {
+        gates.get(entry).freeze();
+        return;
+      }
+    }
+  }
+
+  /** Thaws every entry. */
+  void thaw() {
+    gates.values().forEach(FreezeGate::thaw);
+  }
+
   DemoSpec spec() {
     return spec;
   }
--- a/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoFault.java
+++ b/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoFault.java
@@ -14,7 +14,9 @@
   /** A third of the appends take effect without an answer. */
   LOST_APPEND_ANSWERS,
   /** One worker fails all that it runs. */
-  WORKER_FAILS_ALL;
+  WORKER_FAILS_ALL,
+  /** The owner of a cell is frozen past its lease. */
+  FROZEN_OWNER;
 
   private static final int LOST_PERCENT = 33;
 
@@ -31,10 +33,12 @@
       case LOST_APPEND_ANSWERS ->
           deployment.logFaults().set(FaultSwitch.Kind.LOSE_ANSWERS, LOST_PERCENT);
       case WORKER_FAILS_ALL -> deployment.workerFaults().get(0).set(FaultSwitch.Kind.FAIL_ALL, 1);
+      case FROZEN_OWNER -> deployment.freezeOwner();
     }
   }
 
   void end(DemoDeployment deployment) {
+    deployment.thaw();
     deployment.logFaults().set(FaultSwitch.Kind.DOWN, 0);
     deployment.logFaults().set(FaultSwitch.Kind.LOSE_ANSWERS, 0);
     deployment.workerFaults().forEach(faults -> faults.set(FaultSwitch.Kind.FAIL_ALL, 0));
