--- a/core/src/main/java/org/lavenderstage/core/ledger/LedgerStream.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/LedgerStream.java
@@ -51,6 +51,9 @@
     }
     nextOffset = at.offset() + 1;
     lastAppendTimeMillis = at.appendTimeMillis();
+    if (lastSnapshotTimeMillis == 0) {
+      lastSnapshotTimeMillis = at.appendTimeMillis();
+    }
     if (batch.sequence() <= lastSequence(batch.writer())) {
       duplicateBatches++;
       return;
@@ -105,6 +108,8 @@
     fold.restore(state.fold());
     nextOffset = state.nextOffset();
     lastAppendTimeMillis = state.lastAppendTimeMillis();
+    lastSnapshotOffset = state.nextOffset() - 1;
+    lastSnapshotTimeMillis = state.lastAppendTimeMillis();
     writers.clear();
     state.writers().forEach(mark -> writers.put(mark.writer(), mark));
   }
@@ -157,9 +162,10 @@
   }
 
   /**
-   * Returns the append time of the newest snapshot in the stream.
+   * Returns the append time of the newest snapshot in the stream, or of the first record that was
+   * read where there is no snapshot.
    *
-   * @return milliseconds since 1970, 0 where none was read
+   * @return milliseconds since 1970, 0 where nothing was read
    */
   public long lastSnapshotTimeMillis() {
     return lastSnapshotTimeMillis;
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -1,7 +1,11 @@
 package org.lavenderstage.entry;
 
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -172,12 +176,25 @@
                 "/v1/workspaces/{workspace}/services/{service}/requests",
                 new RequestService(settings, configuration, claims, dispatcher, this::isReady))
             .service("/v1/workspaces/{workspace}/jobs", jobs)
-            .service("/v1/workspaces/{workspace}/jobs/{job}", jobs);
+            .service("/v1/workspaces/{workspace}/jobs/{job}", jobs)
+            .decorator(this::closeConnectionsWhileDraining);
     Server started = builder.build();
     started.start().join();
     return started;
   }
 
+  /**
+   * Moves callers away before the ports close, so that no request is sent into a closing
+   * connection.
+   */
+  private HttpResponse closeConnectionsWhileDraining(
+      HttpService service, ServiceRequestContext context, HttpRequest request) throws Exception {
+    if (draining) {
+      CompletableFuture<?> unused = context.initiateConnectionShutdown();
+    }
+    return service.serve(context, request);
+  }
+
   private EntryAddresses boundAddresses() {
     return new EntryAddresses(
         settings.host() + ":" + server.activeLocalPort(),
@@ -311,6 +328,7 @@
   private void awaitIdle() {
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMillis());
     try {
+      TimeUnit.MILLISECONDS.sleep(settings.unreadyMillis());
       while (System.nanoTime() < until && dispatcher.queued() + dispatcher.inFlight() > 0) {
         TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
       }
--- a/entry/src/main/java/org/lavenderstage/entry/EntryCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/EntryCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import com.linecorp.armeria.client.ClientFactory;
 import io.vavr.control.Either;
 import java.io.PrintStream;
 import java.util.List;
@@ -58,6 +59,8 @@
 
   private static void serve(EntrySettings settings, PrintStream out) throws InterruptedException {
     EventLog.useJson(settings.logFormat().equals("json"));
+    // The default hook would cut off the requests at executors while the entry drains.
+    ClientFactory.disableShutdownHook();
     Entry entry = new Entry(settings);
     out.println(entry.addresses());
     CountDownLatch stopped = new CountDownLatch(1);
