--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
@@ -1,11 +1,13 @@
 package org.lavenderstage.core.ledger.cell;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.RecordPosition;
@@ -19,6 +21,7 @@
 import org.lavenderstage.core.record.EndReason;
 import org.lavenderstage.core.record.JobAccepted;
 import org.lavenderstage.core.record.JobCancelled;
+import org.lavenderstage.core.record.JobRefused;
 import org.lavenderstage.core.record.LedgerRecord;
 import org.lavenderstage.core.record.TaskPlaced;
 import org.lavenderstage.core.record.WorkerRegistered;
@@ -32,9 +35,16 @@
   /** Count of distinct workers on which a job fails before it ends. */
   public static final int MAX_FAILED_WORKERS = 3;
 
+  /** How long ended jobs are kept where nothing else is asked for, in milliseconds. */
+  public static final long DEFAULT_RETENTION_MILLIS = 3_600_000;
+
   private final Map<String, WorkerState> workers = new TreeMap<>();
   private final Map<String, JobState> jobs = new TreeMap<>();
+  private final Map<String, JobState> waiting = new TreeMap<>();
+  private final Map<String, JobState> running = new TreeMap<>();
+  private final Queue<JobState> endedJobs = new ArrayDeque<>();
   private final long clockSkewMillis;
+  private final long retentionMillis;
   private CellOwnership ownership = CellOwnership.NONE;
 
   /**
@@ -43,18 +53,31 @@
    * @param clockSkewMillis largest difference between two clocks in milliseconds
    */
   public CellLedger(long clockSkewMillis) {
+    this(clockSkewMillis, DEFAULT_RETENTION_MILLIS);
+  }
+
+  /**
+   * Starts an empty cell.
+   *
+   * @param clockSkewMillis largest difference between two clocks in milliseconds
+   * @param retentionMillis how long an ended job is kept in milliseconds of append time
+   */
+  public CellLedger(long clockSkewMillis, long retentionMillis) {
     this.clockSkewMillis = clockSkewMillis;
+    this.retentionMillis = retentionMillis;
   }
 
   @Override
   public boolean apply(RecordPosition at, LedgerRecord record) {
+    forgetEnded(at.appendTimeMillis() - retentionMillis);
     return switch (record) {
       case CellClaimed claimed -> claim(at, claimed);
       case CellRenewed renewed -> renew(at, renewed);
       case CellReleased released -> release(released);
       case WorkerRegistered registered -> register(registered);
       case JobAccepted accepted -> accept(at, accepted);
-      case JobCancelled cancelled -> cancel(cancelled);
+      case JobCancelled cancelled -> cancel(at, cancelled);
+      case JobRefused refused -> refuse(at, refused);
       case TaskPlaced placed -> place(at, placed);
       case AttemptExtended extended -> extend(at, extended);
       case AttemptEnded ended -> end(at, ended);
@@ -62,15 +85,39 @@
     };
   }
 
+  private void forgetEnded(long beforeMillis) {
+    while (!endedJobs.isEmpty() && endedJobs.peek().endedAtMillis() < beforeMillis) {
+      jobs.remove(endedJobs.remove().accepted().job());
+    }
+  }
+
+  /** Keeps a job's state and the indexes by phase. */
+  private void put(JobState job) {
+    String id = job.accepted().job();
+    jobs.put(id, job);
+    switch (job.phase()) {
+      case ACCEPTED -> {
+        running.remove(id);
+        waiting.put(id, job);
+      }
+      case PLACED -> {
+        waiting.remove(id);
+        running.put(id, job);
+      }
+      case DONE, FAILED, CANCELLED -> {
+        waiting.remove(id);
+        running.remove(id);
+        endedJobs.add(job);
+      }
+    }
+  }
+
   private boolean claim(RecordPosition at, CellClaimed claimed) {
     if (!ownership.isFree(at.appendTimeMillis()) || claimed.epoch() != ownership.epoch() + 1) {
       return false;
     }
-    ownership =
-        new CellOwnership(
-            Optional.of(claimed.entry()),
-            claimed.epoch(),
-            at.appendTimeMillis() + claimed.leaseMillis());
+    long untilMillis = at.appendTimeMillis() + claimed.leaseMillis();
+    ownership = ownership.claimed(claimed.entry(), claimed.epoch(), untilMillis);
     return true;
   }
 
@@ -78,9 +125,7 @@
     if (!isOwner(renewed.entry(), renewed.epoch())) {
       return false;
     }
-    ownership =
-        new CellOwnership(
-            ownership.owner(), ownership.epoch(), at.appendTimeMillis() + renewed.leaseMillis());
+    ownership = ownership.renewed(at.appendTimeMillis() + renewed.leaseMillis());
     return true;
   }
 
@@ -88,7 +133,7 @@
     if (!isOwner(released.entry(), released.epoch())) {
       return false;
     }
-    ownership = new CellOwnership(Optional.empty(), ownership.epoch(), 0);
+    ownership = ownership.released();
     return true;
   }
 
@@ -112,11 +157,11 @@
     if (jobs.containsKey(accepted.job()) || !next.demand().isValid()) {
       return false;
     }
-    jobs.put(accepted.job(), next);
+    put(next);
     return true;
   }
 
-  private boolean cancel(JobCancelled cancelled) {
+  private boolean cancel(RecordPosition at, JobCancelled cancelled) {
     JobState job = jobs.get(cancelled.job());
     if (job == null
         || job.phase().isFinal()
@@ -124,10 +169,49 @@
         || !job.accepted().workspace().equals(cancelled.workspace())) {
       return false;
     }
-    jobs.put(cancelled.job(), job.cancelled());
+    put(job.cancelled(at.appendTimeMillis()));
     return true;
   }
 
+  private boolean refuse(RecordPosition at, JobRefused refused) {
+    JobState job = waiting.get(refused.job());
+    if (!ownership.allows(refused.epoch(), at.appendTimeMillis())
+        || job == null
+        || workers.isEmpty()
+        || isRunnable(job)) {
+      return false;
+    }
+    put(job.refused(at.appendTimeMillis()));
+    return true;
+  }
+
+  /**
+   * Tells whether some worker, were it idle, could run a job.
+   *
+   * @param job the job
+   * @return whether the job fits a worker on which it has not failed
+   */
+  public boolean isRunnable(JobState job) {
+    for (WorkerState worker : workers.values()) {
+      if (job.demand().fitsIn(worker.total())
+          && !job.failedOn().contains(worker.registered().worker())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Tells whether a demand fits the size of some worker.
+   *
+   * @param demand the demand
+   * @return whether a worker is large enough, or no worker is known yet
+   */
+  public boolean mayFit(Resources demand) {
+    return workers.isEmpty()
+        || workers.values().stream().anyMatch(worker -> demand.fitsIn(worker.total()));
+  }
+
   private boolean place(RecordPosition at, TaskPlaced placed) {
     JobState job = jobs.get(placed.job());
     WorkerState worker = workers.get(placed.worker());
@@ -141,9 +225,7 @@
       return false;
     }
     workers.put(placed.worker(), worker.holding(job.demand()));
-    jobs.put(
-        placed.job(),
-        job.placed(placed.attempt(), placed.worker(), placed.epoch(), placed.untilMillis()));
+    put(job.placed(placed.attempt(), placed.worker(), placed.epoch(), placed.untilMillis()));
     return true;
   }
 
@@ -154,9 +236,7 @@
         || extended.untilMillis() < job.untilMillis()) {
       return false;
     }
-    jobs.put(
-        extended.job(),
-        job.placed(job.attempt(), job.worker(), extended.epoch(), extended.untilMillis()));
+    put(job.extended(extended.untilMillis()));
     return true;
   }
 
@@ -169,24 +249,34 @@
     }
     WorkerState worker = workers.get(job.worker());
     workers.put(job.worker(), worker.releasing(job.demand()));
-    jobs.put(ended.job(), afterEnd(job, ended));
+    put(afterEnd(at, job, ended));
     return true;
   }
 
-  /** An owner that did not renew the attempt itself cannot know when the worker lease lapses. */
+  /**
+   * Judges an end that no worker reported. Only the owner that placed the attempt alone renewed it,
+   * and so knows when the worker lease lapsed. A worker that does not know the attempt proves
+   * nothing while a start command of a former owner may still arrive.
+   */
   private boolean mayEnd(RecordPosition at, JobState job, AttemptEnded ended) {
+    boolean placedByOwner = job.epoch() == ended.epoch();
+    long nowMillis = at.appendTimeMillis();
     return switch (ended.reason()) {
-      case LEASE_LAPSED -> job.epoch() == ended.epoch();
-      case HORIZON_PASSED -> at.appendTimeMillis() > job.untilMillis() + clockSkewMillis;
-      case DONE, FAILED, CHECKPOINTED, STOPPED, CANCELLED -> true;
+      case LEASE_LAPSED -> placedByOwner;
+      case HORIZON_PASSED -> nowMillis > job.untilMillis() + clockSkewMillis;
+      case NOT_FOUND ->
+          placedByOwner || nowMillis > ownership.formerLeaseUntilMillis() + clockSkewMillis;
+      case CHECKPOINTED -> !ended.checkpoint().isEmpty();
+      case CANCELLED -> job.cancelRequested();
+      case DONE, FAILED, STOPPED -> true;
     };
   }
 
-  private static JobState afterEnd(JobState job, AttemptEnded ended) {
+  private static JobState afterEnd(RecordPosition at, JobState job, AttemptEnded ended) {
     List<String> failures = failuresAfter(job, ended.reason());
     JobPhase next = phaseAfter(job, ended.reason(), failures.size());
     String resumeFrom = ended.checkpoint().isEmpty() ? job.checkpoint() : ended.checkpoint();
-    return job.ended(next, resumeFrom, failures);
+    return job.attemptEnded(next, resumeFrom, failures, at.appendTimeMillis());
   }
 
   private static JobPhase phaseAfter(JobState job, EndReason reason, int failedWorkers) {
@@ -240,6 +330,24 @@
     return Collections.unmodifiableCollection(jobs.values());
   }
 
+  /**
+   * Lists the jobs that wait for a worker.
+   *
+   * @return the jobs by identifier
+   */
+  public Collection<JobState> waitingJobs() {
+    return Collections.unmodifiableCollection(waiting.values());
+  }
+
+  /**
+   * Lists the jobs that have a live attempt.
+   *
+   * @return the jobs by identifier
+   */
+  public Collection<JobState> placedJobs() {
+    return Collections.unmodifiableCollection(running.values());
+  }
+
   /**
    * Lists every worker.
    *
--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/JobState.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/JobState.java
@@ -12,11 +12,12 @@
  * @param phase how far it has come
  * @param attempt number of the last attempt, 0 for none
  * @param worker worker of the last attempt, empty for none
- * @param epoch epoch under which the last attempt was placed or extended
+ * @param epoch epoch under which the last attempt was placed
  * @param untilMillis task horizon of the last attempt
  * @param checkpoint checkpoint to resume from, empty for none
  * @param cancelRequested whether the job ends once its attempt has stopped
  * @param failedOn distinct workers on which an attempt failed
+ * @param endedAtMillis append time of the record that ended the job, 0 while it lasts
  */
 public record JobState(
     JobAccepted accepted,
@@ -28,7 +29,8 @@
     long untilMillis,
     String checkpoint,
     boolean cancelRequested,
-    List<String> failedOn) {
+    List<String> failedOn,
+    long endedAtMillis) {
   /** Copies the list. */
   public JobState {
     failedOn = List.copyOf(failedOn);
@@ -36,7 +38,7 @@
 
   static JobState of(JobAccepted accepted, long appendTimeMillis) {
     return new JobState(
-        accepted, appendTimeMillis, JobPhase.ACCEPTED, 0, "", 0, 0, "", false, List.of());
+        accepted, appendTimeMillis, JobPhase.ACCEPTED, 0, "", 0, 0, "", false, List.of(), 0);
   }
 
   /**
@@ -59,10 +61,15 @@
         horizonMillis,
         checkpoint,
         cancelRequested,
-        failedOn);
+        failedOn,
+        0);
   }
 
-  JobState ended(JobPhase next, String resumeFrom, List<String> failures) {
+  JobState extended(long horizonMillis) {
+    return placed(attempt, worker, epoch, horizonMillis);
+  }
+
+  JobState attemptEnded(JobPhase next, String resumeFrom, List<String> failures, long atMillis) {
     return new JobState(
         accepted,
         acceptedAtMillis,
@@ -73,10 +80,15 @@
         untilMillis,
         resumeFrom,
         cancelRequested,
-        failures);
+        failures,
+        next.isFinal() ? atMillis : 0);
+  }
+
+  JobState refused(long atMillis) {
+    return attemptEnded(JobPhase.FAILED, checkpoint, failedOn, atMillis);
   }
 
-  JobState cancelled() {
+  JobState cancelled(long atMillis) {
     JobPhase next = phase == JobPhase.PLACED ? JobPhase.PLACED : JobPhase.CANCELLED;
     return new JobState(
         accepted,
@@ -88,6 +100,7 @@
         untilMillis,
         checkpoint,
         true,
-        failedOn);
+        failedOn,
+        next.isFinal() ? atMillis : 0);
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/outcome/ResultCode.java
+++ b/core/src/main/java/org/lavenderstage/core/outcome/ResultCode.java
@@ -24,6 +24,14 @@
   BODY_TOO_LARGE(2005, 413, Outcome.NOT_ACCEPTED, "the body is over the limit"),
   /** A key whose own time lies outside the window of kept claims. */
   KEY_EXPIRED(2006, 409, Outcome.NOT_ACCEPTED, "the key is outside the window of kept claims"),
+  /** A job whose numbers are negative or missing. */
+  BAD_JOB(2100, 400, Outcome.NOT_ACCEPTED, "a number of the job is missing or out of range"),
+  /** A batch class that the sheet does not name. */
+  UNKNOWN_BATCH_CLASS(2101, 400, Outcome.NOT_ACCEPTED, "there is no such batch class"),
+  /** A job that no worker is large enough for. */
+  JOB_TOO_LARGE(2102, 400, Outcome.NOT_ACCEPTED, "no worker is large enough for the job"),
+  /** A job or cancellation that was handed to the log and not read back in time. */
+  JOB_FATE_UNKNOWN(2103, 504, Outcome.UNKNOWN, "the log has not shown the record in time"),
   /** A full ring or queue. */
   OVERLOADED(3000, 503, Outcome.NOT_ACCEPTED, "too much waits already"),
   /** A deadline that cannot be met. */
--- a/core/src/main/java/org/lavenderstage/core/placement/BestFitPlanner.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/BestFitPlanner.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lavenderstage.core.ledger.cell.CellLedger;
-import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.cell.JobState;
 import org.lavenderstage.core.ledger.cell.WorkerState;
 
@@ -28,13 +27,11 @@
     Map<String, WorkerState> workers = new HashMap<>();
     ledger.workers().forEach(worker -> workers.put(worker.registered().worker(), worker));
     List<PlannedAction> actions = new ArrayList<>();
-    for (JobState job : ledger.jobs()) {
+    for (JobState job : ledger.waitingJobs()) {
       if (actions.size() >= maxPlacements) {
         break;
       }
-      if (job.phase() == JobPhase.ACCEPTED) {
-        place(job, workers).ifPresent(actions::add);
-      }
+      place(job, workers).ifPresent(actions::add);
     }
     return actions;
   }
--- a/core/src/main/java/org/lavenderstage/core/record/LedgerRecord.java
+++ b/core/src/main/java/org/lavenderstage/core/record/LedgerRecord.java
@@ -12,6 +12,7 @@
         CellRenewed,
         JobAccepted,
         JobCancelled,
+        JobRefused,
         RequestClaimed,
         RequestReleased,
         RequestSettled,
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.cell.CellLedger;
-import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
 import org.lavenderstage.core.membership.Member;
 import org.lavenderstage.core.sheet.SheetLedger;
@@ -141,7 +140,7 @@
   }
 
   private Server startServer(ClaimCoordinator claims, JobDesk desk) {
-    JobService jobs = new JobService(configuration, desk, this::isReady);
+    JobService jobs = new JobService(settings, configuration, desk, this::isReady);
     ServerBuilder builder =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.httpPort()))
@@ -263,7 +262,7 @@
                   ledger.ownership().epoch(),
                   ledger.workers().size(),
                   ledger.jobs().size(),
-                  ledger.jobs().stream().filter(job -> job.phase() == JobPhase.PLACED).count());
+                  ledger.placedJobs().size());
             });
   }
 
--- a/entry/src/main/java/org/lavenderstage/entry/task/JobDesk.java
+++ b/entry/src/main/java/org/lavenderstage/entry/task/JobDesk.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.cell.JobState;
+import org.lavenderstage.core.placement.Resources;
 import org.lavenderstage.core.record.JobAccepted;
 import org.lavenderstage.core.record.JobCancelled;
 import org.lavenderstage.core.record.LedgerRecord;
@@ -18,7 +19,8 @@
 public final class JobDesk {
   private final List<Cell> cells;
   private final long waitMillis;
-  private final Map<String, CompletableFuture<Boolean>> pending = new ConcurrentHashMap<>();
+  private final Map<String, CompletableFuture<JobFate>> submissions = new ConcurrentHashMap<>();
+  private final Map<String, CompletableFuture<JobFate>> cancellations = new ConcurrentHashMap<>();
 
   /**
    * Follows the cells.
@@ -33,15 +35,22 @@
   }
 
   private void judged(RecordPosition at, LedgerRecord record, boolean effective) {
-    String job =
-        switch (record) {
-          case JobAccepted accepted -> accepted.job();
-          case JobCancelled cancelled -> cancelled.job();
-          default -> "";
-        };
-    CompletableFuture<Boolean> waiter = pending.remove(job);
+    switch (record) {
+      case JobAccepted accepted ->
+          complete(
+              submissions.remove(accepted.job()), effective ? JobFate.IN_LOG : JobFate.REFUSED);
+      // a cancellation without effect comes after another one or after the job's end
+      case JobCancelled cancelled ->
+          complete(cancellations.remove(cancelled.job()), JobFate.IN_LOG);
+      default -> {
+        // nobody waits for it here
+      }
+    }
+  }
+
+  private static void complete(CompletableFuture<JobFate> waiter, JobFate fate) {
     if (waiter != null) {
-      waiter.completeAsync(() -> effective);
+      CompletableFuture<?> unused = waiter.completeAsync(() -> fate);
     }
   }
 
@@ -50,11 +59,16 @@
    *
    * @param workspace workspace of the caller
    * @param request what to run
-   * @return completes with the job's identifier once it is in the log, with nothing where it is not
-   *     there in time
+   * @return completes with the job's identifier and fate
    */
-  public CompletableFuture<Optional<String>> submit(String workspace, JobRequest request) {
+  public CompletableFuture<Submission> submit(String workspace, JobRequest request) {
     String job = UUID.randomUUID().toString();
+    Resources demand =
+        new Resources(request.cpuMillis(), request.memoryMb(), request.accelerators());
+    List<Cell> fitting = cells.stream().filter(cell -> mayFit(cell, demand)).toList();
+    if (fitting.isEmpty()) {
+      return CompletableFuture.completedFuture(new Submission(job, JobFate.TOO_LARGE));
+    }
     JobAccepted accepted =
         new JobAccepted(
             job,
@@ -66,9 +80,12 @@
             request.expectedMillis(),
             request.watcher(),
             request.payload());
-    Cell cell = cells.get(Math.floorMod(job.hashCode(), cells.size()));
-    return propose(cell, job, accepted)
-        .thenApply(effective -> effective ? Optional.of(job) : Optional.empty());
+    Cell cell = fitting.get(Math.floorMod(job.hashCode(), fitting.size()));
+    return propose(cell, submissions, job, accepted).thenApply(fate -> new Submission(job, fate));
+  }
+
+  private static boolean mayFit(Cell cell, Resources demand) {
+    return cell.replica().read(stream -> stream.fold().mayFit(demand));
   }
 
   /**
@@ -76,24 +93,30 @@
    *
    * @param workspace workspace of the caller
    * @param job identifier of the job
-   * @return completes with whether the cancellation is in the log
+   * @return completes with the fate of the cancellation
    */
-  public CompletableFuture<Boolean> cancel(String workspace, String job) {
+  public CompletableFuture<JobFate> cancel(String workspace, String job) {
     Optional<Cell> cell = cells.stream().filter(c -> find(c, workspace, job).isPresent()).findAny();
     if (cell.isEmpty()) {
-      return CompletableFuture.completedFuture(false);
+      return CompletableFuture.completedFuture(JobFate.REFUSED);
     }
-    return propose(cell.get(), job, new JobCancelled(job, workspace));
+    return propose(cell.get(), cancellations, job, new JobCancelled(job, workspace));
   }
 
-  private CompletableFuture<Boolean> propose(Cell cell, String job, LedgerRecord record) {
-    CompletableFuture<Boolean> waiter = new CompletableFuture<>();
-    pending.put(job, waiter);
+  private CompletableFuture<JobFate> propose(
+      Cell cell, Map<String, CompletableFuture<JobFate>> pending, String job, LedgerRecord record) {
+    if (cell.appender().isFailing() || !cell.replica().isReachable()) {
+      return CompletableFuture.completedFuture(JobFate.LOG_UNAVAILABLE);
+    }
+    CompletableFuture<JobFate> waiter =
+        pending.computeIfAbsent(job, key -> new CompletableFuture<>());
     if (!cell.appender().offer(record)) {
-      pending.remove(job);
-      return CompletableFuture.completedFuture(false);
+      pending.remove(job, waiter);
+      return CompletableFuture.completedFuture(JobFate.REFUSED);
     }
-    return waiter.completeOnTimeout(false, waitMillis, TimeUnit.MILLISECONDS);
+    CompletableFuture<JobFate> answer =
+        waiter.copy().completeOnTimeout(JobFate.UNKNOWN, waitMillis, TimeUnit.MILLISECONDS);
+    return answer.whenComplete((fate, failure) -> pending.remove(job, waiter));
   }
 
   /**
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -28,6 +28,10 @@
   TASK_ENDED(3004),
   /** A worker did not take a command. */
   WORKER_FAILED(3005),
+  /** A command to a worker was not sent, since its time had passed. */
+  COMMAND_EXPIRED(3100),
+  /** A job ended, since no worker can run it. */
+  JOB_REFUSED(3101),
   /** A sheet is in force. */
   SHEET_IN_FORCE(4001),
   /** A committed sheet cannot be read. */
