--- a/core/src/main/java/org/lavenderstage/core/task/AttemptSupervisor.java
+++ b/core/src/main/java/org/lavenderstage/core/task/AttemptSupervisor.java
@@ -93,12 +93,21 @@
   }
 
   private Optional<OwnerAction> command(JobState job, SupervisedAttempt attempt, OwnerInput input) {
-    long nowMillis = input.nowMillis();
-    Optional<CommandVerb> verb = attempt.next(job.cancelRequested(), nowMillis);
+    Optional<CommandVerb> verb = attempt.next(job.cancelRequested(), input.nowMillis());
     if (verb.isEmpty() || (verb.get() == CommandVerb.START && input.draining())) {
       return Optional.empty();
     }
-    long notAfterMillis = notAfter(verb.get(), job, input.ledger().ownership(), nowMillis);
+    Optional<OwnerAction> command = command(verb.get(), job, attempt, input);
+    // without the cell lease nothing may be ended, and what runs goes on
+    return command.isEmpty() && attempt.isRenewalDue(input.nowMillis())
+        ? command(CommandVerb.RENEW, job, attempt, input)
+        : command;
+  }
+
+  private Optional<OwnerAction> command(
+      CommandVerb verb, JobState job, SupervisedAttempt attempt, OwnerInput input) {
+    long nowMillis = input.nowMillis();
+    long notAfterMillis = notAfter(verb, job, input.ledger().ownership(), nowMillis);
     if (notAfterMillis <= nowMillis) {
       return Optional.empty();
     }
@@ -106,13 +115,7 @@
         input.ledger().worker(job.worker()).map(w -> w.registered().address()).orElse("");
     OwnerAction.Command command =
         new OwnerAction.Command(
-            verb.get(),
-            job,
-            address,
-            epoch,
-            nowMillis,
-            notAfterMillis,
-            settings.workerLeaseMillis());
+            verb, job, address, epoch, nowMillis, notAfterMillis, settings.workerLeaseMillis());
     attempt.sent(command);
     return Optional.of(command);
   }
--- a/core/src/main/java/org/lavenderstage/core/task/SupervisedAttempt.java
+++ b/core/src/main/java/org/lavenderstage/core/task/SupervisedAttempt.java
@@ -101,6 +101,11 @@
     return Optional.of(CommandVerb.RENEW);
   }
 
+  /** Whether a task that runs needs a renewal now. */
+  boolean isRenewalDue(long nowMillis) {
+    return started && !inFlight && !givenUp && nowMillis >= nextCommandMillis;
+  }
+
   /** Whether a command need not wait for the next renewal; a lost one waits for its retry. */
   private boolean isUrgent(boolean ending) {
     return isHeard() && (ending || throttleWanted != throttled);
--- a/core/src/test/java/org/lavenderstage/core/ledger/cell/CellLedgerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/ledger/cell/CellLedgerTest.java
@@ -9,9 +9,13 @@
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.placement.Resources;
 import org.lavenderstage.core.record.AttemptEnded;
+import org.lavenderstage.core.record.AttemptExtended;
 import org.lavenderstage.core.record.CellClaimed;
+import org.lavenderstage.core.record.CellReleased;
 import org.lavenderstage.core.record.EndReason;
 import org.lavenderstage.core.record.JobAccepted;
+import org.lavenderstage.core.record.JobCancelled;
+import org.lavenderstage.core.record.JobRefused;
 import org.lavenderstage.core.record.LedgerRecord;
 import org.lavenderstage.core.record.TaskPlaced;
 import org.lavenderstage.core.record.WorkerRegistered;
@@ -70,6 +74,48 @@
     assertTrue(apply(HORIZON_MILLIS + 11, ended));
   }
 
+  @Test
+  void aLapsedLeaseIsBelievedOfTheOwnerAloneThatPlacedTheAttempt() {
+    apply(1, job("job", 1000));
+    apply(2, placement("job", 1, 1));
+    apply(LEASE_MILLIS + 1, new CellClaimed("cell", "entry-b", 2, HORIZON_MILLIS));
+    apply(LEASE_MILLIS + 2, new AttemptExtended("job", 1, "cell", 2, HORIZON_MILLIS + 1));
+    assertFalse(apply(LEASE_MILLIS + 3, end(EndReason.LEASE_LAPSED, 2)));
+  }
+
+  @Test
+  void anUnknownAttemptEndsOnlyWhenNoFormerStartCommandCanArrive() {
+    apply(1, job("job", 1000));
+    apply(2, placement("job", 1, 1));
+    apply(3, new CellReleased("cell", "entry-a", 1));
+    apply(4, new CellClaimed("cell", "entry-b", 2, HORIZON_MILLIS));
+    assertFalse(apply(LEASE_MILLIS + 10, end(EndReason.NOT_FOUND, 2)));
+    assertTrue(apply(LEASE_MILLIS + 11, end(EndReason.NOT_FOUND, 2)));
+  }
+
+  @Test
+  void aJobIsRefusedOnlyWhereNoWorkerIsLargeEnough() {
+    apply(1, job("small", 4000));
+    apply(1, job("large", 4001));
+    assertFalse(apply(2, new JobRefused("small", "cell", 1)));
+    assertTrue(apply(2, new JobRefused("large", "cell", 1)));
+    assertEquals(JobPhase.FAILED, ledger.job("large").orElseThrow().phase());
+  }
+
+  @Test
+  void anEndedJobIsForgottenAfterTheRetention() {
+    apply(1, job("job", 1000));
+    apply(2, new JobCancelled("job", "workspace"));
+    apply(2 + CellLedger.DEFAULT_RETENTION_MILLIS, job("next", 1000));
+    assertTrue(ledger.job("job").isPresent());
+    apply(3 + CellLedger.DEFAULT_RETENTION_MILLIS, job("last", 1000));
+    assertFalse(ledger.job("job").isPresent());
+  }
+
+  private static AttemptEnded end(EndReason reason, long epoch) {
+    return new AttemptEnded("job", 1, "cell", epoch, reason, "");
+  }
+
   private boolean apply(long timeMillis, LedgerRecord record) {
     return ledger.apply(new RecordPosition(offset++, timeMillis), record);
   }
--- a/standin/src/main/java/org/lavenderstage/standin/worker/FakeWorker.java
+++ b/standin/src/main/java/org/lavenderstage/standin/worker/FakeWorker.java
@@ -71,8 +71,17 @@
 
   private void finish(RunningTask task, TaskPhase phase) {
     task.phase = phase;
-    ledger.stopped(
-        task.start.job(), vm.id(), phase == TaskPhase.DONE, phase == TaskPhase.CHECKPOINTED);
+    ledger.stopped(task.start, vm.id(), phase, task.checkpoint);
+  }
+
+  /** Ends every task and forgets all, as a VM does that fails. */
+  public synchronized void crash() {
+    for (RunningTask task : tasks.values()) {
+      if (task.phase == TaskPhase.RUNNING) {
+        finish(task, TaskPhase.STOPPED);
+      }
+    }
+    tasks.clear();
   }
 
   /**
@@ -94,7 +103,7 @@
     }
     RunningTask task = new RunningTask(start, clockMillis.getAsLong() + start.leaseMillis());
     tasks.put(start.job(), task);
-    ledger.started(start.job(), vm.id(), isOvercommitted());
+    ledger.started(start, vm.id(), isOvercommitted());
     return task.status();
   }
 
