--- a/entry/src/main/java/org/lavenderstage/entry/task/JobService.java
+++ b/entry/src/main/java/org/lavenderstage/entry/task/JobService.java
@@ -28,8 +28,6 @@
 public final class JobService implements HttpService {
   private static final long RETRY_AFTER_MILLIS = 1000;
 
-  private static final int MIN_DEMAND = 1;
-
   private final int bodyLimitBytes;
   private final Configuration configuration;
   private final JobDesk desk;
@@ -119,7 +117,7 @@
     }
     try {
       JobRequest job = JsonCodec.decode(request.content().array(), JobRequest.class);
-      Optional<ResultCode> fault = fault(sheet, job);
+      Optional<ResultCode> fault = JobRequestCheck.fault(sheet, job);
       return fault.isPresent()
           ? done(CallerAnswer.of(fault.get(), 0))
           : desk.submit(workspace, job).thenApply(JobService::submitted);
@@ -128,20 +126,6 @@
     }
   }
 
-  /** A number that the body leaves out reads as zero. */
-  private static Optional<ResultCode> fault(Sheet sheet, JobRequest job) {
-    if (job.batchClass() == null || job.payload() == null) {
-      return Optional.of(ResultCode.BAD_REQUEST);
-    }
-    if (sheet.batchClass(job.batchClass()).isEmpty()) {
-      return Optional.of(ResultCode.UNKNOWN_BATCH_CLASS);
-    }
-    boolean sized =
-        job.cpuMillis() >= MIN_DEMAND && job.memoryMb() >= MIN_DEMAND && job.accelerators() >= 0;
-    boolean timed = job.watcher() ? job.expectedMillis() >= 0 : job.expectedMillis() > 0;
-    return sized && timed ? Optional.empty() : Optional.of(ResultCode.BAD_JOB);
-  }
-
   private static CallerAnswer submitted(Submission submission) {
     JobView accepted = new JobView(submission.job(), "accepted", 0, "", "");
     JobView unknown = new JobView(submission.job(), "unknown", 0, "", "");
--- a/entry/src/test/java/org/lavenderstage/entry/task/SimulatedWorkers.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/SimulatedWorkers.java
@@ -32,6 +32,7 @@
   private static final int MEMORY_MB = 8000;
 
   private final LongSupplier clockMillis;
+  private final FaultSwitch faults = new FaultSwitch();
   private final Map<String, FakeWorker> workers = new HashMap<>();
   private final Map<String, Long> cutUntilMillis = new HashMap<>();
   private final Set<String> unlisted = new HashSet<>();
@@ -43,8 +44,7 @@
       long errorMillis = (i - 1) * TaskWorld.SKEW_MILLIS / 2;
       workers.put(
           name(i),
-          new FakeWorker(
-              vm(name(i)), () -> clockMillis.getAsLong() + errorMillis, ledger, new FaultSwitch()));
+          new FakeWorker(vm(name(i)), () -> clockMillis.getAsLong() + errorMillis, ledger, faults));
     }
   }
 
@@ -69,6 +69,11 @@
         .toList();
   }
 
+  /** Lets every task on every worker fail from now on. */
+  void failAll() {
+    faults.set(FaultSwitch.Kind.FAIL_ALL, 1);
+  }
+
   void advance() {
     workers.values().forEach(FakeWorker::advance);
   }
--- a/entry/src/test/java/org/lavenderstage/entry/task/TaskFaultFuzzTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/TaskFaultFuzzTest.java
@@ -19,12 +19,12 @@
   /** A fault at a time. */
   record Scheduled(int tick, Fault fault, int worker) {}
 
-  @Property(seed = "1", tries = 150)
+  @Property(seed = "1", tries = 400)
   void randomFaultsBreakNoPromise(@ForAll("schedules") List<Scheduled> schedule) {
     check(schedule);
   }
 
-  @Property(tries = 150)
+  @Property(tries = 400)
   @Tag("fresh")
   void freshFaultsBreakNoPromise(@ForAll("schedules") List<Scheduled> schedule) {
     check(schedule);
--- a/entry/src/test/java/org/lavenderstage/entry/task/TaskWorld.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/TaskWorld.java
@@ -67,6 +67,7 @@
   private final long horizonMillis;
   private long nowMillis = START_MILLIS;
   private long eventCount;
+  private long deskSequence;
   private long appendAnswersLostUntilMillis;
   private long workerAnswersLostUntilMillis;
 
@@ -102,7 +103,7 @@
     }
   }
 
-  private static JobAccepted job(String id, int cpuMillis, long runMillis) {
+  static JobAccepted job(String id, int cpuMillis, long runMillis) {
     return new JobAccepted(id, "workspace", "class", cpuMillis, 1000, 0, runMillis, false, "");
   }
 
@@ -110,6 +111,27 @@
     return job.accepted().cpuMillis() > 500 && job.accepted().expectedMillis() % 2000 == 0;
   }
 
+  /** Appends records as another process of the system does. */
+  void propose(LedgerRecord... records) {
+    deskSequence++;
+    byte[] batch = LedgerCodec.encode(RecordBatch.of("other", deskSequence, List.of(records)));
+    boolean unused = append(batch);
+  }
+
+  void runFor(long millis) {
+    for (long untilMillis = nowMillis + millis; nowMillis < untilMillis; ) {
+      tick();
+    }
+  }
+
+  Optional<JobState> job(String id) {
+    return entries.get(0).ledger().job(id);
+  }
+
+  SimulatedWorkers workers() {
+    return workers;
+  }
+
   /** Runs until every job has ended, and a while longer to see what comes late. */
   TaskLedger run() {
     while (!isFinished() && nowMillis < START_MILLIS + LIMIT_MILLIS) {
--- a/standin/src/main/java/org/lavenderstage/standin/worker/TaskLedger.java
+++ b/standin/src/main/java/org/lavenderstage/standin/worker/TaskLedger.java
@@ -66,6 +66,16 @@
     return worker + "/" + start.attempt();
   }
 
+  /**
+   * Tells whether a job runs on some worker.
+   *
+   * @param job identifier of the job
+   * @return whether an attempt runs
+   */
+  public synchronized boolean isRunning(String job) {
+    return !runningOn.getOrDefault(job, Set.of()).isEmpty();
+  }
+
   /**
    * Counts the attempts that were started.
    *
