Add the adaptive planner with interference estimates, quarantine and eviction budget

The best-fit planner knows no ranks, shares, pair rules or bad workers, and packs tasks beside services whatever they do to their latency. The adaptive planner orders by rank and by what a workspace holds for its share, places by a cautious estimate of the rise per pair (a Kalman filter per service over late reports, with slopes at low and at high load), throttles, and evicts within a budget that keeps workspaces even. Workers that fail what others run get one probe in 7.5 minutes; a job that failed once goes only to workers that ran something to its end since.

Ruled out: joining a late report to what runs on arrival.

--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/placement/PlannerMemory.java
@@ -0,0 +1,111 @@
+package org.lavenderstage.core.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lavenderstage.core.interference.ServiceUsage;
+import org.lavenderstage.core.interference.TaskUsage;
+import org.lavenderstage.core.interference.UsageReport;
+
+/** What a planner remembers between plans of its own commands and of the workers' reports. */
+final class PlannerMemory {
+  private static final long COMMAND_TIMEOUT_MILLIS = 10_000;
+
+  private final WorkerHealth health;
+  private final Map<String, UsageReport> lastReports = new HashMap<>();
+  private final Map<String, Command> throttled = new HashMap<>();
+  private final Map<String, Command> evicting = new HashMap<>();
+  private final Map<String, Reservation> reservations = new HashMap<>();
+  private long nowMillis;
+
+  PlannerMemory(WorkerHealth health) {
+    this.health = health;
+  }
+
+  WorkerHealth health() {
+    return health;
+  }
+
+  void begin(long planMillis) {
+    nowMillis = planMillis;
+    evicting.values().removeIf(command -> isTimedOut(command.atMillis()));
+    reservations.values().removeIf(reservation -> isTimedOut(reservation.atMillis()));
+  }
+
+  private boolean isTimedOut(long atMillis) {
+    return nowMillis - atMillis > COMMAND_TIMEOUT_MILLIS;
+  }
+
+  /** Keeps the newest report of a worker; a throttle that did not take effect is forgotten. */
+  void report(UsageReport report) {
+    UsageReport known = lastReports.get(report.worker());
+    if (known == null || known.toMillis() <= report.toMillis()) {
+      lastReports.put(report.worker(), report);
+    }
+    for (TaskUsage task : report.tasks()) {
+      Command command = throttled.get(task.job());
+      if (command != null
+          && !task.throttled()
+          && command.atMillis() + COMMAND_TIMEOUT_MILLIS < report.fromMillis()) {
+        throttled.remove(task.job());
+      }
+    }
+  }
+
+  List<String> services(String worker) {
+    UsageReport report = lastReports.get(worker);
+    return report == null
+        ? List.of()
+        : report.services().stream().map(ServiceUsage::service).toList();
+  }
+
+  UsageReport lastReport(String worker) {
+    return lastReports.get(worker);
+  }
+
+  boolean isThrottled(TaskView task) {
+    Command command = throttled.get(task.id);
+    return command != null && command.attempt() == task.job.attempt();
+  }
+
+  long throttledForMillis(TaskView task) {
+    Command command = throttled.get(task.id);
+    return command == null ? 0 : nowMillis - command.atMillis();
+  }
+
+  void throttle(TaskView task) {
+    throttled.put(task.id, new Command(task.job.attempt(), nowMillis));
+  }
+
+  void unthrottle(TaskView task) {
+    throttled.remove(task.id);
+  }
+
+  boolean isEvicting(TaskView task) {
+    Command command = evicting.get(task.id);
+    return command != null && command.attempt() == task.job.attempt();
+  }
+
+  void evict(TaskView task) {
+    evicting.put(task.id, new Command(task.job.attempt(), nowMillis));
+  }
+
+  void forget(String job) {
+    throttled.remove(job);
+    evicting.remove(job);
+  }
+
+  Map<String, Reservation> reservations() {
+    return reservations;
+  }
+
+  void reserve(TaskView task, String worker) {
+    reservations.put(task.id, new Reservation(worker, task.demand, nowMillis));
+  }
+
+  /** A command to one attempt. */
+  private record Command(int attempt, long atMillis) {}
+
+  /** Room that is being freed for an urgent task. */
+  record Reservation(String worker, Resources demand, long atMillis) {}
+}
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/placement/DemandEstimatorTest.java
@@ -0,0 +1,35 @@
+package org.lavenderstage.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class DemandEstimatorTest {
+  private static final WorkloadKey WORKLOAD = new WorkloadKey("workspace", "class");
+
+  private final DemandEstimator demands = new DemandEstimator(0.9);
+
+  @Test
+  void theDeclarationStandsUntilSomethingWasSeen() {
+    demands.observe(WORKLOAD, 1000);
+    assertEquals(5000, demands.estimate(WORKLOAD, 5000));
+  }
+
+  @Test
+  void observationsReplaceAWrongDeclaration() {
+    for (int i = 0; i < 64; i++) {
+      demands.observe(WORKLOAD, 1000);
+    }
+    assertTrue(demands.estimate(WORKLOAD, 5000) < 1100);
+    assertTrue(demands.estimate(WORKLOAD, 200) > 900);
+  }
+
+  @Test
+  void anotherWorkspacesObservationsDoNotCount() {
+    for (int i = 0; i < 64; i++) {
+      demands.observe(WORKLOAD, 1000);
+    }
+    assertEquals(5000, demands.estimate(new WorkloadKey("other", "class"), 5000));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/placement/FuzzPlanner.java
@@ -0,0 +1,32 @@
+package org.lavenderstage.core.placement;
+
+import java.util.List;
+import org.lavenderstage.core.interference.UsageReport;
+import org.lavenderstage.core.ledger.cell.CellLedger;
+import org.lavenderstage.core.record.EndReason;
+import org.lavenderstage.core.sheet.Sheet;
+
+/** The planner under test; a broken variant overrides one part of it. */
+class FuzzPlanner {
+  final AdaptivePlanner planner;
+
+  FuzzPlanner(ProtectionPolicy policy) {
+    planner = new AdaptivePlanner(policy, 100);
+  }
+
+  List<PlannedAction> plan(CellLedger ledger, long nowMillis) {
+    return planner.plan(ledger, nowMillis);
+  }
+
+  void use(Sheet sheet) {
+    planner.use(sheet);
+  }
+
+  void report(UsageReport report) {
+    planner.report(report);
+  }
+
+  void attemptEnded(String job, String worker, EndReason reason) {
+    planner.attemptEnded(job, worker, reason);
+  }
+}
