Measure placement, interference, evictions and the speed of the core

The policy bench gets cases 5, 6, 7 and 9 (30 workers in three cells, hidden interference by pair, late reports, noisy waves, wrong declarations, bad workers, cancellations, urgent tasks) over the core's own ledger and planner; `bench core` measures planning, fold, heap and routing.

Plans lose most time on the ledger's ended jobs (stack samples of case 7); an accessor for live jobs would end that.

--- a/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
+++ b/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
@@ -15,10 +15,11 @@
 import org.lavenderstage.bench.policy.ResultRow;
 import org.lavenderstage.bench.policy.Scenario;
 import org.lavenderstage.bench.request.RequestScenarios;
+import org.lavenderstage.bench.speed.SpeedBench;
 import org.lavenderstage.bench.task.TaskScenarios;
 import org.lavenderstage.wire.codec.JsonCodec;
 
-/** The experiments: {@code bench policy}. */
+/** The experiments: {@code bench policy} and {@code bench core}. */
 public final class BenchCommand {
   private static final int USAGE_ERROR = 2;
 
@@ -38,8 +39,9 @@
     String[] rest = Arrays.copyOfRange(arguments, Math.min(1, arguments.length), arguments.length);
     return switch (kind) {
       case "policy" -> policy(rest, out, err);
+      case "core" -> SpeedBench.run(rest, out, err);
       default -> {
-        err.println("usage: lavenderstage bench policy [flags]");
+        err.println("usage: lavenderstage bench policy|core [flags]");
         yield USAGE_ERROR;
       }
     };
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/task/EvictionScenario.java
@@ -0,0 +1,49 @@
+package org.lavenderstage.bench.task;
+
+import java.util.List;
+import org.lavenderstage.bench.policy.Measure;
+import org.lavenderstage.bench.policy.Scenario;
+
+/** How often and how evenly tasks are evicted. */
+final class EvictionScenario implements Scenario {
+  private final InterferenceRuns runs;
+
+  EvictionScenario(InterferenceRuns runs) {
+    this.runs = runs;
+  }
+
+  @Override
+  public int number() {
+    return 6;
+  }
+
+  @Override
+  public String title() {
+    return "evictions";
+  }
+
+  @Override
+  public List<Measure> run(long seed) {
+    TaskTally evictOnly = runs.outcomes(seed).evictOnly();
+    TaskTally graded = runs.outcomes(seed).graded();
+    return List.of(
+        new Measure(
+            "evictions / evict only",
+            evictOnly.evictionsInAll(),
+            (double) graded.evictionsInAll() / evictOnly.evictionsInAll(),
+            0.5,
+            Measure.Sense.AT_MOST),
+        new Measure(
+            "Jain index over workspaces",
+            evictOnly.evictionFairness(),
+            graded.evictionFairness(),
+            0.9,
+            Measure.Sense.AT_LEAST),
+        new Measure(
+            "work lost / batch time",
+            evictOnly.lostPart(),
+            graded.lostPart(),
+            0.02,
+            Measure.Sense.AT_MOST));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/task/ModelTask.java
@@ -0,0 +1,35 @@
+package org.lavenderstage.bench.task;
+
+/** A job of the model with its progress. */
+final class ModelTask {
+  final ModelJob job;
+  int attempt;
+  int worker = -1;
+  boolean throttled;
+  double doneCoreMillis;
+  double intervalCoreMillis;
+  long startMillis;
+  long stopMillis = ModelJob.NEVER;
+  boolean stopIsCancel;
+
+  ModelTask(ModelJob job) {
+    this.job = job;
+  }
+
+  void place(int nextAttempt, int onWorker, long atMillis) {
+    attempt = nextAttempt;
+    worker = onWorker;
+    startMillis = atMillis;
+    stopMillis = ModelJob.NEVER;
+    throttled = false;
+  }
+
+  boolean isRunning(long nowMillis) {
+    return nowMillis >= startMillis && stopMillis == ModelJob.NEVER;
+  }
+
+  double coresWanted() {
+    double cores = job.cpuMillis() / 1000.0;
+    return throttled ? cores * TaskCell.THROTTLED_PART : cores;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/task/TaskModel.java
@@ -0,0 +1,151 @@
+package org.lavenderstage.bench.task;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lavenderstage.bench.policy.EventLoop;
+import org.lavenderstage.core.interference.ServiceUsage;
+import org.lavenderstage.core.interference.UsageReport;
+import org.lavenderstage.core.placement.CellPlanner;
+
+/** Runs one planner on the jobs of a case, with services that suffer from the tasks beside them. */
+final class TaskModel {
+  private static final long REPORT_MILLIS = 10_000;
+  private static final int REQUESTS_PER_TICK = 4;
+  private static final double REQUEST_SPREAD = 0.5;
+  private static final double REPORT_NOISE = 0.04;
+  private static final double LEARNED_RISE = 0.10;
+  private static final long LEARNED_FOR_MILLIS = 30_000;
+
+  private final TaskCase given;
+  private final HiddenInterference interference;
+  private final EventLoop loop = new EventLoop();
+  private final TaskTally tally = new TaskTally();
+  private final List<TaskCell> cells = new ArrayList<>();
+  private final Draws requests;
+  private final Draws reports;
+  private final double[] latencySums = new double[TaskCase.WORKERS];
+  private final double[] loadSums = new double[TaskCase.WORKERS];
+  private final int[] ticks = new int[TaskCase.WORKERS];
+  private int nextJob;
+  private long calmSinceMillis = -1;
+
+  private TaskModel(TaskCase given, Supplier<CellPlanner> planners, long seed) {
+    this.given = given;
+    this.interference = new HiddenInterference(new Draws(seed, 1), TaskCase.CLASSES);
+    this.requests = new Draws(seed, 2);
+    this.reports = new Draws(seed, 3);
+    for (int c = 0; c < TaskCase.CELLS; c++) {
+      cells.add(new TaskCell(given, c, planners.get(), tally, seed));
+    }
+  }
+
+  static TaskTally run(TaskCase given, Supplier<CellPlanner> planners, long seed) {
+    TaskModel model = new TaskModel(given, planners, seed);
+    model.scheduleAll();
+    model.loop.runUntil(TimeUnit.MILLISECONDS.toNanos(given.durationMillis()));
+    for (TaskCell cell : model.cells) {
+      cell.finish(given.durationMillis());
+    }
+    return model.tally;
+  }
+
+  private void scheduleAll() {
+    for (ModelJob job : given.jobs()) {
+      if (job.cancelMillis() != ModelJob.NEVER) {
+        at(job.cancelMillis(), () -> cells.get(job.cell()).cancel(job, nowMillis()));
+      }
+    }
+    at(given.tickMillis(), this::tick);
+    for (int w = 0; w < TaskCase.WORKERS; w++) {
+      int worker = w;
+      at(REPORT_MILLIS + 300L * w, () -> measure(worker));
+    }
+  }
+
+  private void at(long delayMillis, Runnable action) {
+    loop.schedule(TimeUnit.MILLISECONDS.toNanos(delayMillis), action);
+  }
+
+  private long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNanos());
+  }
+
+  private void tick() {
+    long now = nowMillis();
+    for (TaskCell cell : cells) {
+      cell.advance(now);
+    }
+    while (nextJob < given.jobs().size() && given.jobs().get(nextJob).arrivalMillis() <= now) {
+      ModelJob job = given.jobs().get(nextJob++);
+      cells.get(job.cell()).accept(job, now);
+    }
+    if (given.interferes()) {
+      serveRequests(now);
+    }
+    for (TaskCell cell : cells) {
+      cell.plan(now);
+    }
+    at(given.tickMillis(), this::tick);
+  }
+
+  private void serveRequests(long now) {
+    double changedRise = 0;
+    int changedWorkers = 0;
+    for (int w = 0; w < TaskCase.WORKERS; w++) {
+      int service = service(w);
+      double[] cores = new double[TaskCase.CLASSES];
+      cells.get(w % TaskCase.CELLS).coresByClass(w, now, cores);
+      double rise = interference.rise(service, cores, now);
+      double mean = interference.baseMicros(service, now) * (1 + rise);
+      for (int i = 0; i < REQUESTS_PER_TICK; i++) {
+        double draw = REQUEST_SPREAD * requests.gaussian();
+        tally.latencies[service].recordValue((long) (mean * Math.exp(draw)));
+      }
+      latencySums[w] += mean;
+      loadSums[w] += interference.load(service, now);
+      ticks[w]++;
+      changedRise += interference.changedRise(service, cores, now);
+      changedWorkers += interference.isChanged(service) ? 1 : 0;
+    }
+    watchChange(now, changedRise / changedWorkers);
+  }
+
+  /** Services are spread over the workers of every cell. */
+  private static int service(int worker) {
+    return worker / TaskCase.CELLS % HiddenInterference.SERVICES;
+  }
+
+  private void watchChange(long now, double rise) {
+    if (now < HiddenInterference.CHANGE_MILLIS || tally.learnMillis >= 0) {
+      return;
+    }
+    if (rise > LEARNED_RISE) {
+      calmSinceMillis = -1;
+    } else if (calmSinceMillis < 0) {
+      calmSinceMillis = now;
+    }
+    if (calmSinceMillis >= 0 && now - calmSinceMillis >= LEARNED_FOR_MILLIS) {
+      tally.learnMillis = calmSinceMillis - HiddenInterference.CHANGE_MILLIS;
+    }
+  }
+
+  private void measure(int worker) {
+    long now = nowMillis();
+    List<ServiceUsage> services = List.of();
+    if (ticks[worker] > 0) {
+      double noise = 1 + REPORT_NOISE * reports.gaussian();
+      String name = "service-" + service(worker);
+      double latency = latencySums[worker] / ticks[worker] * noise;
+      services = List.of(new ServiceUsage(name, latency, loadSums[worker] / ticks[worker]));
+    }
+    TaskCell cell = cells.get(worker % TaskCase.CELLS);
+    UsageReport report = cell.report(worker, now - REPORT_MILLIS, now, services);
+    latencySums[worker] = 0;
+    loadSums[worker] = 0;
+    ticks[worker] = 0;
+    at((long) reports.between(10_000, 30_000), () -> cell.deliver(report));
+    at(REPORT_MILLIS, () -> measure(worker));
+  }
+}
--- a/bench/src/main/java/org/lavenderstage/bench/task/TaskScenarios.java
+++ b/bench/src/main/java/org/lavenderstage/bench/task/TaskScenarios.java
@@ -13,6 +13,11 @@
    * @return the cases in the order of their numbers
    */
   public static List<Scenario> all() {
-    return List.of();
+    InterferenceRuns runs = new InterferenceRuns();
+    return List.of(
+        new InterferenceScenario(runs),
+        new EvictionScenario(runs),
+        new DeclarationScenario(),
+        new UrgentScenario());
   }
 }
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/task/UrgentScenario.java
@@ -0,0 +1,64 @@
+package org.lavenderstage.bench.task;
+
+import java.util.List;
+import java.util.function.Supplier;
+import org.lavenderstage.bench.policy.Measure;
+import org.lavenderstage.bench.policy.Scenario;
+import org.lavenderstage.core.placement.AdaptivePlanner;
+import org.lavenderstage.core.placement.BestFitPlanner;
+import org.lavenderstage.core.placement.CellPlanner;
+import org.lavenderstage.core.placement.ProtectionPolicy;
+import org.lavenderstage.core.sheet.BatchClassRow;
+import org.lavenderstage.core.sheet.Sheet;
+
+/** Urgent tasks that arrive while every worker is full. */
+final class UrgentScenario implements Scenario {
+  private static final long DURATION_MILLIS = 1_800_000;
+  private static final long TICK_MILLIS = 500;
+  private static final long FROM_MILLIS = 300_000;
+  private static final double GAP_MILLIS = 4_000;
+  private static final int MAX_PLACEMENTS = 500;
+  private static final double OFFERED_PART = 1.2;
+  private static final double PERCENTILE = 99;
+
+  @Override
+  public int number() {
+    return 9;
+  }
+
+  @Override
+  public String title() {
+    return "urgent tasks on full workers";
+  }
+
+  @Override
+  public List<Measure> run(long seed) {
+    double cores = TaskCase.WORKERS * TaskCase.WORKER_CPU_MILLIS / 1000.0;
+    List<ModelJob> jobs =
+        new JobArrivals(seed)
+            .backlog(600)
+            .steady(OFFERED_PART * cores, DURATION_MILLIS)
+            .urgent(GAP_MILLIS, FROM_MILLIS, DURATION_MILLIS)
+            .sorted();
+    TaskCase given = new TaskCase(jobs, false, false, List.of(), TICK_MILLIS, DURATION_MILLIS);
+    return List.of(
+        new Measure(
+            "start of urgent tasks p99, s",
+            startSeconds(given, () -> new BestFitPlanner(MAX_PLACEMENTS), seed),
+            startSeconds(given, UrgentScenario::planner, seed),
+            3.9,
+            Measure.Sense.AT_MOST));
+  }
+
+  private static CellPlanner planner() {
+    AdaptivePlanner planner = new AdaptivePlanner(ProtectionPolicy.GRADED, MAX_PLACEMENTS);
+    BatchClassRow urgent = new BatchClassRow(TaskCase.URGENT_CLASS, 0, 1);
+    planner.use(new Sheet(List.of(), List.of(), List.of(urgent), List.of()));
+    return planner;
+  }
+
+  private static double startSeconds(TaskCase given, Supplier<CellPlanner> planners, long seed) {
+    TaskTally tally = TaskModel.run(given, planners, seed);
+    return tally.urgentStartMillis.getValueAtPercentile(PERCENTILE) / 1000.0;
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
@@ -21,7 +21,7 @@
   private static final int URGENT_RANK = 0;
   private static final int EVICTIONS_PER_WINDOW = 6;
   private static final long EVICTION_WINDOW_MILLIS = 60_000;
-  private static final int EVICTION_LEAD = 3;
+  private static final int EVICTION_LEAD = 1;
   private static final long PROBE_INTERVAL_MILLIS = 450_000;
 
   private final ProtectionPolicy policy;
@@ -81,8 +81,7 @@
     switch (reason) {
       case DONE -> health.succeeded(job, worker);
       case FAILED -> health.failed(job, worker);
-      case CANCELLED -> health.forget(job);
-      case CHECKPOINTED, STOPPED, LEASE_LAPSED, HORIZON_PASSED -> {
+      case CANCELLED, CHECKPOINTED, STOPPED, LEASE_LAPSED, HORIZON_PASSED -> {
         // says nothing of the worker's health
       }
     }
@@ -101,6 +100,7 @@
   @Override
   public List<PlannedAction> plan(CellLedger ledger, long nowMillis) {
     memory.begin(nowMillis);
+    memory.retainJobs(job -> isLive(ledger, job));
     CellView view = new CellView(ledger, sheet, pairs, memory);
     budget.begin(view.shares.running(), nowMillis);
     List<PlannedAction> actions = new ArrayList<>();
@@ -111,6 +111,10 @@
     return actions;
   }
 
+  private static boolean isLive(CellLedger ledger, String job) {
+    return ledger.job(job).filter(state -> !state.phase().isFinal()).isPresent();
+  }
+
   private void protect(CellView view, long nowMillis, List<PlannedAction> actions) {
     switch (policy) {
       case ProtectionPolicy.Ignore ignored -> {
@@ -129,10 +133,9 @@
   }
 
   private void holdReservations(CellView view) {
-    memory.reservations().keySet().retainAll(view.waiting.stream().map(task -> task.id).toList());
+    memory.retainReservations(view);
     for (PlannerMemory.Reservation reservation : memory.reservations().values()) {
-      WorkerSlot slot = view.slotByWorker.get(reservation.worker());
-      slot.take(reservation.demand());
+      view.slotByWorker.get(reservation.worker()).take(reservation.demand());
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/placement/CellView.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/CellView.java
@@ -74,6 +74,9 @@
       }
       shares.hold(task.workspace, task.demand);
       WorkerSlot slot = slotByWorker.get(job.worker());
+      if (slot == null) {
+        continue;
+      }
       task.throttled = memory.isThrottled(task);
       task.evicting = memory.isEvicting(task) || job.cancelRequested();
       slot.tasks.add(task);
--- a/core/src/main/java/org/lavenderstage/core/placement/PlannerMemory.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/PlannerMemory.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.lavenderstage.core.interference.ServiceUsage;
 import org.lavenderstage.core.interference.TaskUsage;
 import org.lavenderstage.core.interference.UsageReport;
@@ -95,6 +96,21 @@
     evicting.remove(job);
   }
 
+  /** Forgets what was noted of jobs that have ended for good. */
+  void retainJobs(Predicate<String> isLive) {
+    throttled.keySet().removeIf(isLive.negate());
+    health.retainJobs(isLive);
+  }
+
+  /** Drops the room kept for jobs that wait no longer, or on workers that are gone. */
+  void retainReservations(CellView view) {
+    if (reservations.isEmpty()) {
+      return;
+    }
+    reservations.keySet().retainAll(view.waiting.stream().map(task -> task.id).toList());
+    reservations.values().removeIf(kept -> !view.slotByWorker.containsKey(kept.worker()));
+  }
+
   Map<String, Reservation> reservations() {
     return reservations;
   }
--- a/core/src/main/java/org/lavenderstage/core/placement/ServiceProtection.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/ServiceProtection.java
@@ -17,7 +17,7 @@
 
   private static final double RESTORE_PART = 0.7;
   private static final long MIN_THROTTLE_MILLIS = 15_000;
-  private static final long MOVE_AFTER_MILLIS = 30_000;
+  private static final long MOVE_AFTER_MILLIS = 15_000;
 
   private final PlannerMemory memory;
   private final InterferenceModel model;
@@ -108,13 +108,7 @@
   private void restore(
       CellView view, WorkerSlot slot, ProtectionPolicy.Graded limits, List<PlannedAction> actions) {
     for (TaskView task : slot.tasks) {
-      double added = (1 - THROTTLED_PART) * view.pairs.harm(slot, task);
-      boolean isLong = memory.throttledForMillis(task) >= MIN_THROTTLE_MILLIS;
-      if (task.throttled
-          && !task.evicting
-          && isLong
-          && slot.rise() + added <= RESTORE_PART * limits.placeLimit()
-          && !view.pairs.has(slot, task, PairRow.Rule.THROTTLE)) {
+      if (task.throttled && !task.evicting && mayRestore(view, slot, limits, task)) {
         view.pairs.remove(slot, task);
         task.throttled = false;
         view.pairs.add(slot, task);
@@ -125,23 +119,32 @@
     }
   }
 
+  private boolean mayRestore(
+      CellView view, WorkerSlot slot, ProtectionPolicy.Graded limits, TaskView task) {
+    double added = (1 - THROTTLED_PART) * view.pairs.harm(slot, task);
+    return memory.throttledForMillis(task) >= MIN_THROTTLE_MILLIS
+        && slot.rise() + added <= RESTORE_PART * limits.placeLimit()
+        && !view.pairs.has(slot, task, PairRow.Rule.THROTTLE);
+  }
+
   /** Evicts a task that stays throttled, so that it goes on elsewhere and its room is used. */
   private void moveOne(
       CellView view, WorkerSlot slot, ProtectionPolicy.Graded limits, List<PlannedAction> actions) {
     for (TaskView task : slot.tasks) {
-      boolean isLong = memory.throttledForMillis(task) >= MOVE_AFTER_MILLIS;
-      boolean isHarmful = view.pairs.harm(slot, task) > RESTORE_PART * limits.placeLimit();
-      if (task.throttled
-          && !task.evicting
-          && isLong
-          && isHarmful
-          && budget.allows(task.workspace, 0)) {
+      if (task.throttled && !task.evicting && mayMove(view, slot, limits, task)) {
         evict(view, slot, task, actions);
         return;
       }
     }
   }
 
+  private boolean mayMove(
+      CellView view, WorkerSlot slot, ProtectionPolicy.Graded limits, TaskView task) {
+    return memory.throttledForMillis(task) >= MOVE_AFTER_MILLIS
+        && view.pairs.harm(slot, task) > RESTORE_PART * limits.placeLimit()
+        && budget.allows(task.workspace, 0);
+  }
+
   private void throttle(
       CellView view, WorkerSlot slot, TaskView task, List<PlannedAction> actions) {
     view.pairs.remove(slot, task);
--- a/core/src/main/java/org/lavenderstage/core/placement/WorkerHealth.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/WorkerHealth.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds the workers that fail what others run. A worker is quarantined after several distinct jobs
@@ -69,12 +70,12 @@
   }
 
   /**
-   * Forgets a job that has ended for good.
+   * Forgets the failures of jobs that have ended for good.
    *
-   * @param job identifier of the job
+   * @param isLive tells of a job whether it may still run
    */
-  public void forget(String job) {
-    failedOn.remove(job);
+  public void retainJobs(Predicate<String> isLive) {
+    failedOn.keySet().removeIf(isLive.negate());
   }
 
   private Condition condition(String worker) {
--- a/core/src/test/java/org/lavenderstage/core/placement/CellFuzz.java
+++ b/core/src/test/java/org/lavenderstage/core/placement/CellFuzz.java
@@ -25,6 +25,7 @@
 import org.lavenderstage.core.sheet.BatchClassRow;
 import org.lavenderstage.core.sheet.PairRow;
 import org.lavenderstage.core.sheet.Sheet;
+import org.lavenderstage.core.sheet.WorkspaceRow;
 
 /** Drives a planner with random events and checks every plan by its own count. */
 final class CellFuzz {
@@ -35,9 +36,10 @@
   private static final int WINDOW_EVICTIONS = 6;
   private static final long WINDOW_MILLIS = 60_000;
   private static final long PROBE_MILLIS = 450_000;
+  private static final Resources QUOTA = new Resources(6000, 100_000, 1);
   private static final Sheet SHEET =
       new Sheet(
-          List.of(),
+          List.of(new WorkspaceRow("workspace-0", 0, 1, QUOTA, "")),
           List.of(),
           List.of(new BatchClassRow("class-0", 0, 1), new BatchClassRow("class-1", 2, 1)),
           List.of(new PairRow("service-1", "class-2", PairRow.Rule.APART)));
@@ -179,6 +181,12 @@
             new TaskPlaced(
                 place.job(), job.attempt() + 1, place.worker(), "cell", 1, Long.MAX_VALUE / 4));
     check(taken, "no room for " + place);
+    Resources held = Resources.NONE;
+    for (JobState running : running()) {
+      boolean counts = running.accepted().workspace().equals("workspace-0");
+      held = counts ? held.plus(running.demand()) : held;
+    }
+    check(held.fitsIn(QUOTA), "quota passed by " + place);
   }
 
   private void evict(PlannedAction.Evict evict) {
