Believe late reports on throttled tasks and report ended tasks

A throttle or its end can be lost, and a new owner did not know what a former one throttled: such a task stayed slow for good. A report that was measured long after the last command, or without one, now tells.

A quota-blind planner joins the broken variants.

--- a/bench/src/main/java/org/lavenderstage/bench/speed/SpeedBench.java
+++ b/bench/src/main/java/org/lavenderstage/bench/speed/SpeedBench.java
@@ -24,6 +24,7 @@
   private static final int SMALL_CELL = 50;
   private static final int LARGE_CELL = 500;
   private static final int WAITING_PER_WORKER = 4;
+  private static final int PLACEMENTS = 20_000;
   private static final int IDLE_PLANS = 50;
   private static final int FOLD_LIVES = 100_000;
   private static final int HEAP_WORKERS = 5_000;
@@ -109,16 +110,23 @@
     SpeedCell cell = new SpeedCell(workers);
     cell.fill(workers * SpeedCell.TASKS_PER_WORKER);
     cell.accept(workers * WAITING_PER_WORKER);
+    int plans = PLACEMENTS / (workers * WAITING_PER_WORKER);
+    long placed = 0;
     long start = System.nanoTime();
-    List<PlannedAction> actions = cell.planner.plan(cell.ledger, 20_000);
+    for (int i = 0; i < plans; i++) {
+      placed += placements(cell.planner.plan(cell.ledger, 20_000));
+    }
     long took = System.nanoTime() - start;
-    long placed = actions.stream().filter(PlannedAction.Place.class::isInstance).count();
     if (placed == 0) {
       throw new IllegalStateException("nothing was placed");
     }
     return placed * NANOS_PER_SECOND / took;
   }
 
+  private static long placements(List<PlannedAction> actions) {
+    return actions.stream().filter(PlannedAction.Place.class::isInstance).count();
+  }
+
   private static double idlePlanMicros() {
     SpeedCell cell = new SpeedCell(LARGE_CELL);
     cell.fill(LARGE_CELL * SpeedCell.TASKS_PER_WORKER);
--- a/bench/src/main/java/org/lavenderstage/bench/speed/SpeedCell.java
+++ b/bench/src/main/java/org/lavenderstage/bench/speed/SpeedCell.java
@@ -55,7 +55,7 @@
         0,
         10_000,
         List.of(new ServiceUsage("service-" + worker % SERVICES, 20_000, 0.5)),
-        List.of(new TaskUsage("", "class-" + lesson / SERVICES % CLASSES, cpuMillis, false)));
+        List.of(new TaskUsage("", 1, "class-" + lesson / SERVICES % CLASSES, cpuMillis, false)));
   }
 
   void apply(LedgerRecord record) {
--- a/bench/src/main/java/org/lavenderstage/bench/task/ModelTask.java
+++ b/bench/src/main/java/org/lavenderstage/bench/task/ModelTask.java
@@ -24,6 +24,16 @@
     throttled = false;
   }
 
+  /** Hands over what the attempt used since the last report. */
+  ModelTask copyOfInterval() {
+    ModelTask copy = new ModelTask(job);
+    copy.attempt = attempt;
+    copy.throttled = throttled;
+    copy.intervalCoreMillis = intervalCoreMillis;
+    intervalCoreMillis = 0;
+    return copy;
+  }
+
   boolean isRunning(long nowMillis) {
     return nowMillis >= startMillis && stopMillis == ModelJob.NEVER;
   }
--- a/bench/src/main/java/org/lavenderstage/bench/task/TaskCell.java
+++ b/bench/src/main/java/org/lavenderstage/bench/task/TaskCell.java
@@ -44,6 +44,7 @@
   private final CellLedger ledger = new CellLedger(0);
   private final Map<String, ModelTask> tasks = new HashMap<>();
   private final Map<Integer, List<ModelTask>> byWorker = new HashMap<>();
+  private final Map<Integer, List<ModelTask>> endedByWorker = new HashMap<>();
   private final DemandEstimator demands = new DemandEstimator(USAGE_QUANTILE);
   private final BadWorkerCount badWorkers;
   private long offset;
@@ -58,6 +59,7 @@
     apply(0, new CellClaimed(name, "owner", EPOCH, Long.MAX_VALUE / 4));
     for (int w = index; w < TaskCase.WORKERS; w += TaskCase.CELLS) {
       byWorker.put(w, new ArrayList<>());
+      endedByWorker.put(w, new ArrayList<>());
       register(w, w / TaskCase.CELLS / TaskCase.WORKERS_PER_RACK);
     }
   }
@@ -164,6 +166,7 @@
 
   private void end(ModelTask task, EndReason reason, long nowMillis) {
     byWorker.get(task.worker).remove(task);
+    endedByWorker.get(task.worker).add(task.copyOfInterval());
     String checkpoint = reason == EndReason.CHECKPOINTED ? "kept" : "";
     apply(
         nowMillis, new AttemptEnded(task.job.id(), task.attempt, name, EPOCH, reason, checkpoint));
@@ -239,17 +242,26 @@
     }
   }
 
-  /** Reads and clears what was measured since the last report. */
+  /** Reads and clears what was measured since the last report, ended tasks included. */
   UsageReport report(int worker, long fromMillis, long toMillis, List<ServiceUsage> services) {
     List<TaskUsage> usages = new ArrayList<>();
     for (ModelTask task : byWorker.get(worker)) {
-      int cpuMillis = (int) (1000 * task.intervalCoreMillis / (toMillis - fromMillis));
-      task.intervalCoreMillis = 0;
-      usages.add(new TaskUsage(task.job.id(), task.job.batchClass(), cpuMillis, task.throttled));
+      usages.add(usage(task, toMillis - fromMillis));
     }
+    for (ModelTask task : endedByWorker.get(worker)) {
+      usages.add(usage(task, toMillis - fromMillis));
+    }
+    endedByWorker.get(worker).clear();
     return new UsageReport(workerName(worker), fromMillis, toMillis, services, usages);
   }
 
+  private static TaskUsage usage(ModelTask task, long intervalMillis) {
+    int cpuMillis = (int) (1000 * task.intervalCoreMillis / intervalMillis);
+    task.intervalCoreMillis = 0;
+    return new TaskUsage(
+        task.job.id(), task.attempt, task.job.batchClass(), cpuMillis, task.throttled);
+  }
+
   void deliver(UsageReport report) {
     if (planner instanceof AdaptivePlanner adaptive) {
       adaptive.report(report);
--- a/core/src/main/java/org/lavenderstage/core/placement/PlannerMemory.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/PlannerMemory.java
@@ -14,7 +14,7 @@
 
   private final WorkerHealth health;
   private final Map<String, UsageReport> lastReports = new HashMap<>();
-  private final Map<String, Command> throttled = new HashMap<>();
+  private final Map<String, Throttling> throttlings = new HashMap<>();
   private final Map<String, Command> evicting = new HashMap<>();
   private final Map<String, Reservation> reservations = new HashMap<>();
   private long nowMillis;
@@ -37,18 +37,27 @@
     return nowMillis - atMillis > COMMAND_TIMEOUT_MILLIS;
   }
 
-  /** Keeps the newest report of a worker; a throttle that did not take effect is forgotten. */
+  /**
+   * Keeps the newest report of a worker. Where a report was measured long after the last command,
+   * or no command is known, it tells whether a task is throttled: a command can be lost, and a
+   * former owner may have given it.
+   */
   void report(UsageReport report) {
     UsageReport known = lastReports.get(report.worker());
     if (known == null || known.toMillis() <= report.toMillis()) {
       lastReports.put(report.worker(), report);
     }
     for (TaskUsage task : report.tasks()) {
-      Command command = throttled.get(task.job());
-      if (command != null
-          && !task.throttled()
-          && command.atMillis() + COMMAND_TIMEOUT_MILLIS < report.fromMillis()) {
-        throttled.remove(task.job());
+      Throttling last = throttlings.get(task.job());
+      boolean isKnown = last != null && last.attempt() >= task.attempt();
+      boolean isNews =
+          isKnown
+              ? last.atMillis() + COMMAND_TIMEOUT_MILLIS < report.fromMillis()
+              : task.throttled();
+      if (isNews) {
+        long sinceMillis =
+            isKnown && last.on() == task.throttled() ? last.atMillis() : report.toMillis();
+        throttlings.put(task.job(), new Throttling(task.attempt(), task.throttled(), sinceMillis));
       }
     }
   }
@@ -65,21 +74,20 @@
   }
 
   boolean isThrottled(TaskView task) {
-    Command command = throttled.get(task.id);
-    return command != null && command.attempt() == task.job.attempt();
+    Throttling last = throttlings.get(task.id);
+    return last != null && last.on() && last.attempt() == task.job.attempt();
   }
 
   long throttledForMillis(TaskView task) {
-    Command command = throttled.get(task.id);
-    return command == null ? 0 : nowMillis - command.atMillis();
+    return isThrottled(task) ? nowMillis - throttlings.get(task.id).atMillis() : 0;
   }
 
   void throttle(TaskView task) {
-    throttled.put(task.id, new Command(task.job.attempt(), nowMillis));
+    throttlings.put(task.id, new Throttling(task.job.attempt(), true, nowMillis));
   }
 
   void unthrottle(TaskView task) {
-    throttled.remove(task.id);
+    throttlings.put(task.id, new Throttling(task.job.attempt(), false, nowMillis));
   }
 
   boolean isEvicting(TaskView task) {
@@ -92,13 +100,13 @@
   }
 
   void forget(String job) {
-    throttled.remove(job);
+    throttlings.remove(job);
     evicting.remove(job);
   }
 
   /** Forgets what was noted of jobs that have ended for good. */
   void retainJobs(Predicate<String> isLive) {
-    throttled.keySet().removeIf(isLive.negate());
+    throttlings.keySet().removeIf(isLive.negate());
     health.retainJobs(isLive);
   }
 
@@ -122,6 +130,9 @@
   /** A command to one attempt. */
   private record Command(int attempt, long atMillis) {}
 
+  /** Whether an attempt is throttled, and since when. */
+  private record Throttling(int attempt, boolean on, long atMillis) {}
+
   /** Room that is being freed for an urgent task. */
   record Reservation(String worker, Resources demand, long atMillis) {}
 }
--- a/core/src/test/java/org/lavenderstage/core/interference/InterferenceModelTest.java
+++ b/core/src/test/java/org/lavenderstage/core/interference/InterferenceModelTest.java
@@ -76,7 +76,7 @@
             10_000,
             List.of(new ServiceUsage("service", 20_000 * factor, load)),
             List.of(
-                new TaskUsage("a", "harsh", (int) (1000 * harshCores), false),
-                new TaskUsage("b", "mild", (int) (1000 * mildCores), false))));
+                new TaskUsage("a", 1, "harsh", (int) (1000 * harshCores), false),
+                new TaskUsage("b", 1, "mild", (int) (1000 * mildCores), false))));
   }
 }
--- a/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerOrderTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.interference.ServiceUsage;
+import org.lavenderstage.core.interference.TaskUsage;
 import org.lavenderstage.core.interference.UsageReport;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.cell.CellLedger;
@@ -111,6 +112,33 @@
     assertEquals(List.of(), planner.plan(ledger, 2000));
   }
 
+  @Test
+  void anUnknownClassIsTriedWithAFewCoresFirst() {
+    worker("worker", "rack", 32_000);
+    report("worker", 20_000);
+    for (int i = 0; i < 30; i++) {
+      job("job" + i, "one", "high", 1000, false);
+    }
+    int placed = placeAll(1000).size();
+    assertTrue(placed >= 2 && placed <= 12, placed + " cores beside the service");
+  }
+
+  @Test
+  void aTaskThatAFormerOwnerThrottledRunsAtFullSpeedAgain() {
+    worker("worker", "rack", 8000);
+    job("a", "one", "high", 1000, false);
+    placeAll(0);
+    ServiceUsage service = new ServiceUsage("other", 20_000, 0.5);
+    TaskUsage throttled = new TaskUsage("a", 1, "high", 250, true);
+    planner.report(new UsageReport("worker", 0, 10_000, List.of(service), List.of(throttled)));
+    assertEquals(List.of(), planner.plan(ledger, 20_000));
+    assertEquals(List.of(new PlannedAction.Unthrottle("a")), planner.plan(ledger, 30_000));
+    planner.report(new UsageReport("worker", 10_000, 20_000, List.of(), List.of(throttled)));
+    assertEquals(List.of(), planner.plan(ledger, 60_000));
+    planner.report(new UsageReport("worker", 50_000, 60_000, List.of(service), List.of(throttled)));
+    assertEquals(List.of(new PlannedAction.Unthrottle("a")), planner.plan(ledger, 80_000));
+  }
+
   private void report(String worker, double latencyMicros) {
     ServiceUsage service = new ServiceUsage("service", latencyMicros, 0.5);
     planner.report(new UsageReport(worker, 0, 10_000, List.of(service), List.of()));
--- a/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerTest.java
@@ -71,6 +71,11 @@
     assertCaught("apart rule", () -> new SheetBlindPlanner());
   }
 
+  @Test
+  void aPlannerThatKnowsNoQuotaIsCaught() {
+    assertCaught("quota", () -> new QuotaBlindPlanner());
+  }
+
   @Test
   void aPlannerThatIsToldOfNoFailureIsCaught() {
     assertCaught("quarantine", () -> new FailureBlindPlanner());
@@ -146,6 +151,18 @@
     }
   }
 
+  /** Learns of ranks and pair rules, and of no workspace. */
+  private static final class QuotaBlindPlanner extends FuzzPlanner {
+    QuotaBlindPlanner() {
+      super(ProtectionPolicy.GRADED);
+    }
+
+    @Override
+    void use(Sheet sheet) {
+      super.use(new Sheet(List.of(), List.of(), List.of(), sheet.pairs()));
+    }
+  }
+
   /** Never learns that an attempt failed. */
   private static final class FailureBlindPlanner extends FuzzPlanner {
     FailureBlindPlanner() {
--- a/core/src/test/java/org/lavenderstage/core/placement/CellFuzz.java
+++ b/core/src/test/java/org/lavenderstage/core/placement/CellFuzz.java
@@ -108,7 +108,9 @@
     for (JobState job : running()) {
       if (job.worker().equals(id)) {
         String batchClass = job.accepted().batchClass();
-        tasks.add(new TaskUsage(job.accepted().job(), batchClass, job.demand().cpuMillis(), false));
+        tasks.add(
+            new TaskUsage(
+                job.accepted().job(), job.attempt(), batchClass, job.demand().cpuMillis(), false));
         cores += batchClass.equals("class-1") ? job.demand().cpuMillis() / 1000.0 : 0;
       }
     }
