--- a/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
@@ -81,7 +81,7 @@
     switch (reason) {
       case DONE -> health.succeeded(job, worker);
       case FAILED -> health.failed(job, worker);
-      case CANCELLED, CHECKPOINTED, STOPPED, LEASE_LAPSED, HORIZON_PASSED -> {
+      case CANCELLED, CHECKPOINTED, STOPPED, NOT_FOUND, LEASE_LAPSED, HORIZON_PASSED -> {
         // says nothing of the worker's health
       }
     }
