Restore a cell's indexes of jobs with its state

The merge of the job indexes left waiting and placed jobs out of a restored cell: a fresh entry would have owned a cell and placed nothing. The recovery test now compares both indexes; it fails before the change.

--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -386,7 +387,14 @@
     ownership = cell.ownership();
     workers.clear();
     cell.workers().forEach(worker -> workers.put(worker.registered().worker(), worker));
+    restoreJobs(cell.jobs());
+  }
+
+  private void restoreJobs(List<JobState> kept) {
     jobs.clear();
-    cell.jobs().forEach(job -> jobs.put(job.accepted().job(), job));
+    waiting.clear();
+    running.clear();
+    endedJobs.clear();
+    kept.stream().sorted(Comparator.comparingLong(JobState::endedAtMillis)).forEach(this::put);
   }
 }
--- a/entry/src/test/java/org/lavenderstage/entry/log/SnapshotRecoveryTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/log/SnapshotRecoveryTest.java
@@ -71,6 +71,8 @@
     assertEquals(writer.nextOffset(), fresh.nextOffset());
     assertEquals(writer.fold().digest(), fresh.fold().digest());
     assertEquals(writer.lastSequence("writer"), fresh.lastSequence("writer"));
+    assertEquals(List.copyOf(writer.fold().waitingJobs()), List.copyOf(fresh.fold().waitingJobs()));
+    assertEquals(List.copyOf(writer.fold().placedJobs()), List.copyOf(fresh.fold().placedJobs()));
   }
 
   @Test
