Decide claims in a pure coordinator; judge keys by append time

Cause: the thin path answered a repeat "unknown" without asking the owner, let a key of any case name a second request, kept claims for ever, used one request id for every retry and trusted a 503 without an echo (a late one of another request would have been taken for "not started", and the request sent again).

Change: core.claim holds the state machine of one entry's claims; entry.request carries its decisions out. The fold refuses keys outside the window by append time and forgets claims a margin later. The server's own errors have an LS code in a JSON body. Caller latency is counted by service and outcome.

StreamAppender: a batch that was read back after a lost answer left failing=true until the next append; with non-idempotent work refused while it is failing, no next append would come. One line resets it.

Ruled out: taking a transfer-encoded answer as whole, since the client library drops that header and a cut one could not be told from a whole one; answering not-run on a peer's word, since a third entry may have run the request meanwhile.

The state machine has no test yet.

--- a/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
@@ -1,7 +1,11 @@
 package org.lavenderstage.core.ledger.claim;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.RecordPosition;
@@ -14,15 +18,31 @@
 /**
  * The fold of the claims of non-idempotent requests. The first valid claim in log order wins, and
  * only its owner can release it, so that nobody dispatches what another entry may still dispatch.
+ * Claims of keys that are older than the window are forgotten by the append times alone, so that
+ * every process forgets the same ones at the same offset.
  */
 public final class ClaimLedger implements Fold {
-  private final Map<RequestKey, ClaimState> claims = new TreeMap<>();
+  private final ClaimWindow window;
+  private final int limit;
+  private final Map<RequestKey, ClaimState> claims = new HashMap<>();
+  private final TreeMap<Long, Set<RequestKey>> keysByTime = new TreeMap<>();
+  private long foldMillis;
 
-  /** Starts without claims. */
-  public ClaimLedger() {}
+  /**
+   * Starts without claims.
+   *
+   * @param window how far a key's time may lie from the append time; the same on every entry
+   * @param limit most claims that are kept; the same on every entry
+   */
+  public ClaimLedger(ClaimWindow window, int limit) {
+    this.window = window;
+    this.limit = limit;
+  }
 
   @Override
   public boolean apply(RecordPosition at, LedgerRecord record) {
+    foldMillis = Math.max(foldMillis, at.appendTimeMillis());
+    forget();
     return switch (record) {
       case RequestClaimed claimed -> claim(at, claimed);
       case RequestReleased released ->
@@ -41,14 +61,25 @@
     };
   }
 
+  private void forget() {
+    Map<Long, Set<RequestKey>> old = keysByTime.headMap(window.forgetBelowMillis(foldMillis));
+    old.values().forEach(claims.keySet()::removeAll);
+    old.clear();
+  }
+
   private boolean claim(RecordPosition at, RequestClaimed claimed) {
     RequestKey key = new RequestKey(claimed.workspace(), claimed.key());
     ClaimState known = claims.get(key);
     int lastAttempt = known == null ? 0 : known.attempt();
     boolean free = known == null || known.phase() == ClaimState.Phase.RELEASED;
-    if (!free || claimed.attempt() != lastAttempt + 1) {
+    if (!free || claimed.attempt() != lastAttempt + 1 || !isInWindow(key)) {
+      return false;
+    }
+    if (known == null && claims.size() >= limit) {
       return false;
     }
+    long keyMillis = KeyTime.millis(claimed.key()).orElseThrow();
+    keysByTime.computeIfAbsent(keyMillis, time -> new HashSet<>()).add(key);
     claims.put(
         key,
         new ClaimState(
@@ -78,6 +109,26 @@
     return Optional.ofNullable(claims.get(key));
   }
 
+  /**
+   * Tells whether a claim of a key could take effect at the time of the last record.
+   *
+   * @param key the request
+   * @return whether the key's time lies inside the window
+   */
+  public boolean isInWindow(RequestKey key) {
+    OptionalLong keyMillis = KeyTime.millis(key.key());
+    return keyMillis.isPresent() && window.isValid(keyMillis.getAsLong(), foldMillis);
+  }
+
+  /**
+   * Returns the latest append time that was read.
+   *
+   * @return milliseconds since 1970, 0 for none
+   */
+  public long foldMillis() {
+    return foldMillis;
+  }
+
   /**
    * Counts the claims that are kept.
    *
@@ -89,6 +140,6 @@
 
   @Override
   public String digest() {
-    return new StateDigest().add(claims).hex();
+    return new StateDigest().add(window).add(limit).add(new TreeMap<>(claims)).hex();
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/outcome/ResultCode.java
+++ b/core/src/main/java/org/lavenderstage/core/outcome/ResultCode.java
@@ -24,6 +24,12 @@
   BODY_TOO_LARGE(2005, 413, Outcome.NOT_ACCEPTED, "the body is over the limit"),
   /** A key whose own time lies outside the window of kept claims. */
   KEY_EXPIRED(2006, 409, Outcome.NOT_ACCEPTED, "the key is outside the window of kept claims"),
+  /** A path that is not served. */
+  UNKNOWN_PATH(2200, 404, Outcome.NOT_ACCEPTED, "there is no such path"),
+  /** A method that the path does not take. */
+  METHOD_NOT_ALLOWED(2201, 405, Outcome.NOT_ACCEPTED, "the path does not take this method"),
+  /** A request whose body did not come whole. */
+  REQUEST_CUT(2202, 400, Outcome.NOT_ACCEPTED, "the request did not come whole"),
   /** A full ring or queue. */
   OVERLOADED(3000, 503, Outcome.NOT_ACCEPTED, "too much waits already"),
   /** A deadline that cannot be met. */
@@ -36,12 +42,20 @@
   NOT_READY(3004, 503, Outcome.NOT_ACCEPTED, "this entry takes no new work"),
   /** An upstream that surely did not start the request. */
   UPSTREAM_REFUSED(3005, 503, Outcome.NOT_RUN, "no upstream took the request"),
+  /** A claim whose fate was not read in time. */
+  CLAIM_UNREAD(3200, 503, Outcome.NOT_ACCEPTED, "the claim's fate is not known in time"),
+  /** A log that keeps as many claims as it may. */
+  CLAIMS_FULL(3201, 503, Outcome.NOT_ACCEPTED, "too many claims are kept"),
+  /** A claim of another submission that came first and was given up. */
+  CLAIM_RELEASED(3202, 503, Outcome.NOT_ACCEPTED, "another submission held the claim; ask again"),
   /** An upstream whose answer did not come whole. */
   UPSTREAM_LOST(4000, 502, Outcome.UNKNOWN, "the upstream's answer did not come whole"),
   /** A claimed request whose owner cannot tell. */
   OWNER_GONE(4001, 409, Outcome.UNKNOWN, "the request may have run and will not run again"),
   /** A request that ran and whose answer is gone. */
   ANSWER_GONE(4002, 409, Outcome.RAN, "the request ran and its answer is not kept"),
+  /** A repeat whose deadline passed while the request was under way. */
+  STILL_RUNNING(4200, 504, Outcome.UNKNOWN, "another submission of the request is under way"),
   /** A fault of lavenderstage itself. */
   INTERNAL(5000, 500, Outcome.UNKNOWN, "an internal error");
 
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -14,6 +14,7 @@
 import org.lavenderstage.core.ledger.cell.CellLedger;
 import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
+import org.lavenderstage.core.ledger.claim.ClaimWindow;
 import org.lavenderstage.core.membership.Member;
 import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.entry.admin.AdminServer;
@@ -26,7 +27,8 @@
 import org.lavenderstage.entry.log.StreamReplica;
 import org.lavenderstage.entry.peer.Membership;
 import org.lavenderstage.entry.peer.PeerServer;
-import org.lavenderstage.entry.request.ClaimCoordinator;
+import org.lavenderstage.entry.request.CallerErrorHandler;
+import org.lavenderstage.entry.request.ClaimDesk;
 import org.lavenderstage.entry.request.RequestService;
 import org.lavenderstage.entry.task.Cell;
 import org.lavenderstage.entry.task.CellOwner;
@@ -40,6 +42,7 @@
 import org.lavenderstage.platform.http.HttpWorkerClient;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
+import org.lavenderstage.wire.peer.AnswerQuery;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.peer.PeerMessage;
 import org.lavenderstage.wire.settings.EntrySettings;
@@ -66,6 +69,9 @@
   private final Membership membership;
   private final PeerServer peerServer;
   private final Dispatcher dispatcher;
+  private final ClaimWindow claimWindow;
+  private final StreamReplica<ClaimLedger> claimReplica;
+  private final ClaimDesk claims;
   private final List<Cell> cells = new ArrayList<>();
   private final List<CellOwner> owners = new ArrayList<>();
   private final EntryMetrics metrics = new EntryMetrics();
@@ -92,17 +98,26 @@
     membership = new Membership(this::self, directory, settings.heartbeatMillis());
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
-    StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
-    ClaimCoordinator claims =
-        new ClaimCoordinator(name, claimReplica, appender(claimReplica, log, budget));
+    claimWindow =
+        new ClaimWindow(
+            settings.claimWindowMillis(), settings.claimAheadMillis(), settings.clockSkewMillis());
+    claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger(claimWindow, settings.claimLimit()));
     dispatcher =
         new Dispatcher(
             new HttpExecutorClient(settings.bodyLimitBytes()), directory, settings.ringSize());
+    claims =
+        new ClaimDesk(
+            name,
+            settings,
+            claimReplica,
+            appender(claimReplica, log, budget),
+            dispatcher::submit,
+            this::peerAddress);
     for (String cell : settings.cells().split(",", -1)) {
       addCell(cell.strip(), log, budget);
     }
     JobDesk desk = new JobDesk(cells, settings.claimWaitMillis());
-    server = startServer(claims, desk);
+    server = startServer(desk);
     adminServer =
         new AdminServer(
             new InetSocketAddress(settings.host(), settings.adminPort()),
@@ -114,6 +129,7 @@
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
+    claims.start();
     owners.forEach(CellOwner::start);
     EventLog.info(
         LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
@@ -140,18 +156,17 @@
         new CellOwner(name, settings, cell, directory, new HttpWorkerClient(PLATFORM_TIMEOUT)));
   }
 
-  private Server startServer(ClaimCoordinator claims, JobDesk desk) {
+  private Server startServer(JobDesk desk) {
     JobService jobs = new JobService(configuration, desk, this::isReady);
     ServerBuilder builder =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.httpPort()))
             .requestTimeoutMillis(0)
-            .maxRequestLength(settings.bodyLimitBytes() + 1L)
+            .maxRequestLength(settings.bodyLimitBytes())
             .gracefulShutdownTimeout(
                 Duration.ofMillis(DRAIN_POLL_MILLIS), Duration.ofMillis(settings.drainMillis()))
-            .service(
-                "/v1/workspaces/{workspace}/services/{service}/requests",
-                new RequestService(settings, configuration, claims, dispatcher, this::isReady))
+            .service("/v1/workspaces/{workspace}/services/{service}/requests", requestService())
+            .errorHandler(new CallerErrorHandler())
             .service("/v1/workspaces/{workspace}/jobs", jobs)
             .service("/v1/workspaces/{workspace}/jobs/{job}", jobs);
     Server started = builder.build();
@@ -159,6 +174,25 @@
     return started;
   }
 
+  private RequestService requestService() {
+    return new RequestService(
+        settings,
+        configuration,
+        claims,
+        claimWindow,
+        claimReplica::logNowMillis,
+        dispatcher,
+        metrics,
+        this::isReady);
+  }
+
+  private Optional<String> peerAddress(String entry) {
+    return membership.live().stream()
+        .filter(member -> member.entry().equals(entry))
+        .map(Member::peerAddress)
+        .findFirst();
+  }
+
   private EntryAddresses boundAddresses() {
     return new EntryAddresses(
         settings.host() + ":" + server.activeLocalPort(),
@@ -175,6 +209,7 @@
         "lavenderstage_queued_requests", "Requests that wait.", () -> dispatcher.queued());
     metrics.gauge(
         "lavenderstage_inflight_requests", "Requests at executors.", () -> dispatcher.inFlight());
+    metrics.gauge("lavenderstage_open_claims", "Claims under way.", () -> claims.openKeys());
     metrics.gauge("lavenderstage_live_entries", "Live entries.", () -> membership.live().size());
     metrics.gauge(
         "lavenderstage_log_lag_records",
@@ -198,6 +233,9 @@
     if (message instanceof Heartbeat heartbeat) {
       membership.heard(heartbeat);
     }
+    if (message instanceof AnswerQuery query) {
+      return Optional.of(claims.answer(query));
+    }
     return Optional.empty();
   }
 
@@ -283,7 +321,7 @@
   private void awaitIdle() {
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMillis());
     try {
-      while (System.nanoTime() < until && dispatcher.queued() + dispatcher.inFlight() > 0) {
+      while (System.nanoTime() < until && hasOpenRequests()) {
         TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -291,6 +329,10 @@
     }
   }
 
+  private boolean hasOpenRequests() {
+    return dispatcher.queued() + dispatcher.inFlight() + claims.openKeys() > 0;
+  }
+
   /** Stops without any answer or handover, as a killed process would. */
   public void kill() {
     CompletableFuture<?> unused = server.closeAsync();
@@ -300,6 +342,7 @@
 
   private void closeNow() {
     membership.close();
+    claims.close();
     directory.close();
     dispatcher.close();
     appenders.forEach(StreamAppender::close);
--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
@@ -87,6 +87,7 @@
 
   private boolean append(byte[] bytes) throws InterruptedException {
     if (isReadBack()) {
+      failing = false;
       return true;
     }
     while (!budget.tryTake()) {
--- a/entry/src/main/java/org/lavenderstage/entry/request/Authenticator.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/Authenticator.java
@@ -7,9 +7,13 @@
 import org.lavenderstage.core.sheet.Sheet;
 import org.lavenderstage.core.sheet.WorkspaceRow;
 
-/** Checks bearer tokens against the digests of the sheet. */
+/**
+ * Checks bearer tokens against the digests of the sheet. An unknown workspace takes the same time
+ * as a wrong token.
+ */
 public final class Authenticator {
   private static final String SCHEME = "Bearer ";
+  private static final byte[] NO_DIGEST = bytes("0".repeat(64));
 
   private Authenticator() {}
 
@@ -27,9 +31,9 @@
       return Optional.empty();
     }
     byte[] given = bytes(StateDigest.sha256Hex(authorization.substring(SCHEME.length())));
-    return sheet
-        .workspace(workspace)
-        .filter(row -> MessageDigest.isEqual(given, bytes(row.tokenSha256())));
+    Optional<WorkspaceRow> row = sheet.workspace(workspace);
+    byte[] expected = row.map(one -> bytes(one.tokenSha256())).orElse(NO_DIGEST);
+    return MessageDigest.isEqual(given, expected) ? row : Optional.empty();
   }
 
   private static byte[] bytes(String text) {
--- a/entry/src/main/java/org/lavenderstage/entry/request/CallerAnswer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/CallerAnswer.java
@@ -1,10 +1,12 @@
 package org.lavenderstage.entry.request;
 
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import org.lavenderstage.core.claim.ClaimAnswer;
 import org.lavenderstage.core.outcome.ResultCode;
 import org.lavenderstage.platform.Headers;
 import org.lavenderstage.wire.codec.JsonCodec;
@@ -47,12 +49,39 @@
     return new CallerAnswer(code, code.status(), JSON, JsonCodec.encode(message), 0);
   }
 
+  /**
+   * Makes an answer of what came of a claim.
+   *
+   * @param answer the final answer, its body empty where lavenderstage itself answers
+   * @return the answer
+   */
+  public static CallerAnswer of(ClaimAnswer answer) {
+    if (answer.code() != ResultCode.ANSWERED) {
+      return of(answer.code(), answer.retryAfterMillis());
+    }
+    return new CallerAnswer(
+        answer.code(),
+        answer.status(),
+        answer.contentType(),
+        answer.body(),
+        answer.retryAfterMillis());
+  }
+
   /**
    * Makes the HTTP response.
    *
    * @return the response with its outcome headers
    */
   public HttpResponse toResponse() {
+    return toAggregated().toHttpResponse();
+  }
+
+  /**
+   * Makes the whole HTTP response.
+   *
+   * @return the response with its outcome headers
+   */
+  public AggregatedHttpResponse toAggregated() {
     ResponseHeadersBuilder headers =
         ResponseHeaders.builder(HttpStatus.valueOf(status))
             .add("content-type", contentType)
@@ -62,6 +91,6 @@
       long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
       headers.addLong("retry-after", seconds);
     }
-    return HttpResponse.of(headers.build(), HttpData.wrap(body));
+    return AggregatedHttpResponse.of(headers.build(), HttpData.wrap(body));
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/request/OwnerQuery.java
@@ -0,0 +1,98 @@
+package org.lavenderstage.entry.request;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.lavenderstage.core.claim.ClaimAnswer;
+import org.lavenderstage.core.claim.ClaimSubmission;
+import org.lavenderstage.core.outcome.ResultCode;
+import org.lavenderstage.entry.peer.PeerLink;
+import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.event.LogEvent;
+import org.lavenderstage.wire.peer.AnswerQuery;
+import org.lavenderstage.wire.peer.AnswerReply;
+import org.lavenderstage.wire.peer.PeerMessage;
+
+/** Asks the owner of a claim for its answer, each query over a link and a thread of its own. */
+final class OwnerQuery {
+  private static final int MAX_QUERIES = 256;
+  private static final int LINK_MARGIN_MILLIS = 100;
+
+  private final OwnerDirectory owners;
+  private final Semaphore free = new Semaphore(MAX_QUERIES);
+  private final AtomicLong lastId = new AtomicLong();
+
+  OwnerQuery(OwnerDirectory owners) {
+    this.owners = owners;
+  }
+
+  /**
+   * Asks without blocking; the reply is empty where the owner is gone, unreachable or unknowing.
+   */
+  void ask(ClaimSubmission submission, String owner, Consumer<Optional<ClaimAnswer>> reply) {
+    Optional<String> address = owners.peerAddress(owner);
+    if (address.isEmpty() || !free.tryAcquire()) {
+      reply.accept(Optional.empty());
+      return;
+    }
+    Thread.ofVirtual()
+        .name("ask-owner")
+        .start(
+            () -> {
+              Optional<ClaimAnswer> answer;
+              try {
+                answer = askNow(submission, address.get());
+              } finally {
+                free.release();
+              }
+              reply.accept(answer);
+            });
+  }
+
+  private Optional<ClaimAnswer> askNow(ClaimSubmission submission, String address) {
+    long left = TimeUnit.NANOSECONDS.toMillis(submission.deadlineNanos() - System.nanoTime());
+    int waitMillis = Math.clamp(left, 1, Integer.MAX_VALUE - LINK_MARGIN_MILLIS);
+    AnswerQuery query =
+        new AnswerQuery(
+            lastId.incrementAndGet(),
+            submission.key().workspace(),
+            submission.key().key(),
+            waitMillis);
+    try (PeerLink link = new PeerLink(address, waitMillis + LINK_MARGIN_MILLIS)) {
+      return link.ask(query).flatMap(message -> answer(query, message));
+    } catch (IOException e) {
+      EventLog.info(LogEvent.OWNER_UNREACHABLE, "peer", address, "cause", e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private static Optional<ClaimAnswer> answer(AnswerQuery query, PeerMessage message) {
+    if (!(message instanceof AnswerReply reply) || reply.id() != query.id() || !reply.known()) {
+      return Optional.empty();
+    }
+    return Arrays.stream(ResultCode.values())
+        .filter(code -> code.number() == reply.code())
+        .findFirst()
+        .map(code -> new ClaimAnswer(code, reply.status(), reply.contentType(), reply.body(), 0));
+  }
+
+  /** Makes the reply to a peer's query; an empty answer disowns the request. */
+  static AnswerReply reply(AnswerQuery query, Optional<ClaimAnswer> answer) {
+    if (answer.isEmpty()) {
+      return new AnswerReply(query.id(), false, "", 0, 0, "", new byte[0]);
+    }
+    ClaimAnswer known = answer.get();
+    return new AnswerReply(
+        query.id(),
+        true,
+        known.code().outcome().header(),
+        known.code().number(),
+        known.status(),
+        known.contentType(),
+        known.body());
+  }
+}
--- a/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
@@ -1,8 +1,10 @@
 package org.lavenderstage.entry.request;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.Optional;
@@ -11,12 +13,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.lavenderstage.core.ledger.claim.ClaimState;
+import java.util.function.LongSupplier;
+import org.lavenderstage.core.ledger.claim.ClaimWindow;
 import org.lavenderstage.core.ledger.claim.KeyTime;
 import org.lavenderstage.core.ledger.claim.RequestKey;
 import org.lavenderstage.core.outcome.ResultCode;
 import org.lavenderstage.core.sheet.ServiceRow;
 import org.lavenderstage.core.sheet.Sheet;
+import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.config.Configuration;
 import org.lavenderstage.entry.dispatch.DispatchRequest;
 import org.lavenderstage.entry.dispatch.DispatchResult;
@@ -29,11 +33,15 @@
 /** Serves {@code POST /v1/workspaces/{workspace}/services/{service}/requests}. */
 public final class RequestService implements HttpService {
   private static final long RETRY_AFTER_MILLIS = 1000;
+  private static final String NO_SERVICE = "none";
 
   private final EntrySettings settings;
   private final Configuration configuration;
-  private final ClaimCoordinator claims;
+  private final ClaimDesk claims;
+  private final ClaimWindow window;
+  private final LongSupplier logMillis;
   private final Dispatcher dispatcher;
+  private final EntryMetrics metrics;
   private final BooleanSupplier accepting;
 
   /**
@@ -42,19 +50,28 @@
    * @param settings limits and times
    * @param configuration the sheet in force
    * @param claims claims non-idempotent requests
+   * @param window how far a key's time may lie from the log's time
+   * @param logMillis estimate of the log's time in milliseconds since 1970
    * @param dispatcher sends requests to executors
+   * @param metrics where each answer is counted
    * @param accepting whether this entry takes new work
    */
   public RequestService(
       EntrySettings settings,
       Configuration configuration,
-      ClaimCoordinator claims,
+      ClaimDesk claims,
+      ClaimWindow window,
+      LongSupplier logMillis,
       Dispatcher dispatcher,
+      EntryMetrics metrics,
       BooleanSupplier accepting) {
     this.settings = settings;
     this.configuration = configuration;
     this.claims = claims;
+    this.window = window;
+    this.logMillis = logMillis;
     this.dispatcher = dispatcher;
+    this.metrics = metrics;
     this.accepting = accepting;
   }
 
@@ -63,41 +80,60 @@
     long arrivedNanos = System.nanoTime();
     String workspace = Optional.ofNullable(context.pathParam("workspace")).orElse("");
     String service = Optional.ofNullable(context.pathParam("service")).orElse("");
-    return HttpResponse.of(
-        request
-            .aggregate()
-            .thenCompose(whole -> answer(workspace, service, whole, arrivedNanos))
-            .exceptionally(failure -> CallerAnswer.of(ResultCode.INTERNAL, 0))
-            .thenApply(CallerAnswer::toResponse));
+    Sheet sheet = configuration.inForce().sheet();
+    Optional<CallerAnswer> refusal = refusal(sheet, workspace, request.headers());
+    Optional<ServiceRow> row = sheet.service(service);
+    CompletableFuture<CallerAnswer> answer;
+    if (refusal.isPresent()) {
+      answer = done(refusal.get());
+    } else if (row.isEmpty()) {
+      answer = done(CallerAnswer.of(ResultCode.UNKNOWN_SERVICE, 0));
+    } else {
+      answer =
+          request
+              .aggregate()
+              .thenCompose(whole -> answer(workspace, row.get(), whole, arrivedNanos))
+              .exceptionally(failure -> CallerAnswer.of(CallerErrorHandler.code(failure), 0));
+    }
+    String label = row.map(ServiceRow::name).orElse(NO_SERVICE);
+    return HttpResponse.of(answer.thenApply(end -> finish(end, label, arrivedNanos)));
   }
 
-  private CompletableFuture<CallerAnswer> answer(
-      String workspace, String service, AggregatedHttpRequest request, long arrivedNanos) {
-    Sheet sheet = configuration.inForce().sheet();
+  private HttpResponse finish(CallerAnswer answer, String service, long arrivedNanos) {
+    String outcome = answer.code().outcome().header();
+    metrics.answered(service, outcome, System.nanoTime() - arrivedNanos);
+    return answer.toResponse();
+  }
+
+  private Optional<CallerAnswer> refusal(Sheet sheet, String workspace, RequestHeaders headers) {
+    if (headers.method() != HttpMethod.POST) {
+      return Optional.of(CallerAnswer.of(ResultCode.METHOD_NOT_ALLOWED, 0));
+    }
     if (!accepting.getAsBoolean()) {
-      return done(CallerAnswer.of(ResultCode.NOT_READY, RETRY_AFTER_MILLIS));
+      return Optional.of(CallerAnswer.of(ResultCode.NOT_READY, RETRY_AFTER_MILLIS));
     }
-    String authorization = request.headers().get("authorization", "");
+    String authorization = headers.get("authorization", "");
     if (Authenticator.authenticate(sheet, workspace, authorization).isEmpty()) {
-      return done(CallerAnswer.of(ResultCode.BAD_TOKEN, 0));
-    }
-    Optional<ServiceRow> row = sheet.service(service);
-    if (row.isEmpty()) {
-      return done(CallerAnswer.of(ResultCode.UNKNOWN_SERVICE, 0));
+      return Optional.of(CallerAnswer.of(ResultCode.BAD_TOKEN, 0));
     }
+    return Optional.empty();
+  }
+
+  private CompletableFuture<CallerAnswer> answer(
+      String workspace, ServiceRow row, AggregatedHttpRequest request, long arrivedNanos) {
     if (request.content().length() > settings.bodyLimitBytes()) {
       return done(CallerAnswer.of(ResultCode.BODY_TOO_LARGE, 0));
     }
-    OptionalLong timeout = timeoutMillis(request, row.get());
+    OptionalLong timeout = timeoutMillis(request, row);
     if (timeout.isEmpty()) {
       return done(CallerAnswer.of(ResultCode.BAD_REQUEST, 0));
     }
     long deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeout.getAsLong());
-    if (row.get().idempotent()) {
-      ExecutorRequest sent = executorRequest(workspace, service, "", request);
-      return dispatch(sent, row.get(), deadlineNanos, () -> true).thenApply(this::toAnswer);
+    if (row.idempotent()) {
+      ExecutorRequest sent = executorRequest(workspace, row.name(), "", request);
+      return dispatch(sent, row, deadlineNanos).thenApply(RequestService::toAnswer);
     }
-    return claimThenDispatch(workspace, row.get(), request, deadlineNanos);
+    return claimThenDispatch(workspace, row, request, arrivedNanos, deadlineNanos);
   }
 
   private OptionalLong timeoutMillis(AggregatedHttpRequest request, ServiceRow row) {
@@ -116,80 +152,38 @@
   }
 
   private CompletableFuture<CallerAnswer> claimThenDispatch(
-      String workspace, ServiceRow row, AggregatedHttpRequest request, long deadlineNanos) {
-    String key = request.headers().get(Headers.IDEMPOTENCY_KEY, "");
-    OptionalLong keyMillis = KeyTime.millis(key);
-    if (keyMillis.isEmpty()) {
+      String workspace,
+      ServiceRow row,
+      AggregatedHttpRequest request,
+      long arrivedNanos,
+      long deadlineNanos) {
+    Optional<String> key = KeyTime.canonical(request.headers().get(Headers.IDEMPOTENCY_KEY, ""));
+    if (key.isEmpty()) {
       return done(CallerAnswer.of(ResultCode.BAD_KEY, 0));
     }
-    long age = Math.abs(System.currentTimeMillis() - keyMillis.getAsLong());
-    if (age > settings.claimWindowMillis()) {
+    long keyMillis = KeyTime.millis(key.get()).orElseThrow();
+    if (!window.accepts(keyMillis, logMillis.getAsLong())) {
       return done(CallerAnswer.of(ResultCode.KEY_EXPIRED, 0));
     }
-    RequestKey requestKey = new RequestKey(workspace, key);
-    Optional<ClaimState> known = claims.find(requestKey);
-    if (known.isPresent() && known.get().phase() != ClaimState.Phase.RELEASED) {
-      return done(repeated(known.get()));
-    }
-    ExecutorRequest sent = executorRequest(workspace, row.name(), key, request);
-    return claim(requestKey)
-        .thenCompose(fate -> afterClaim(fate, requestKey, sent, row, deadlineNanos));
-  }
-
-  private static CallerAnswer repeated(ClaimState claim) {
-    return CallerAnswer.of(
-        claim.phase() == ClaimState.Phase.SETTLED ? ResultCode.ANSWER_GONE : ResultCode.OWNER_GONE,
-        0);
-  }
-
-  private CompletableFuture<ClaimCoordinator.Fate> claim(RequestKey key) {
-    CompletableFuture<ClaimCoordinator.Fate> fate = claims.claim(key);
-    CompletableFuture.delayedExecutor(settings.claimWaitMillis(), TimeUnit.MILLISECONDS)
-        .execute(() -> giveUp(key, fate));
-    return fate;
-  }
-
-  private void giveUp(RequestKey key, CompletableFuture<ClaimCoordinator.Fate> fate) {
-    if (!fate.isDone()) {
-      claims.abandon(key);
-    }
-  }
-
-  private CompletableFuture<CallerAnswer> afterClaim(
-      ClaimCoordinator.Fate fate,
-      RequestKey key,
-      ExecutorRequest sent,
-      ServiceRow row,
-      long deadlineNanos) {
-    return switch (fate) {
-      case REFUSED -> done(CallerAnswer.of(ResultCode.LOG_UNAVAILABLE, RETRY_AFTER_MILLIS));
-      case LOST -> done(CallerAnswer.of(ResultCode.OWNER_GONE, 0));
-      case WON ->
-          dispatch(sent, row, deadlineNanos, () -> true).thenApply(result -> settle(key, result));
-    };
-  }
-
-  private CallerAnswer settle(RequestKey key, DispatchResult result) {
-    switch (result) {
-      case DispatchResult.Answered answered -> claims.settle(key);
-      case DispatchResult.NotRun notRun -> claims.release(key);
-      case DispatchResult.Lost lost -> {
-        // the claim stays, so that the request never runs again
-      }
-    }
-    return toAnswer(result);
+    ExecutorRequest sent = executorRequest(workspace, row.name(), key.get(), request);
+    return claims
+        .submit(
+            new RequestKey(workspace, key.get()),
+            arrivedNanos,
+            deadlineNanos,
+            new ClaimedWork(sent, row.rank()))
+        .thenApply(CallerAnswer::of);
   }
 
   private CompletableFuture<DispatchResult> dispatch(
-      ExecutorRequest sent, ServiceRow row, long deadlineNanos, BooleanSupplier mayDispatch) {
+      ExecutorRequest sent, ServiceRow row, long deadlineNanos) {
     CompletableFuture<DispatchResult> result = new CompletableFuture<>();
     dispatcher.submit(
-        new DispatchRequest(
-            sent, row.rank(), row.idempotent(), deadlineNanos, mayDispatch, result));
+        new DispatchRequest(sent, row.rank(), true, deadlineNanos, () -> true, result));
     return result;
   }
 
-  private CallerAnswer toAnswer(DispatchResult result) {
+  private static CallerAnswer toAnswer(DispatchResult result) {
     return switch (result) {
       case DispatchResult.Answered answered -> upstream(answered.answer());
       case DispatchResult.NotRun notRun ->
--- a/standin/src/main/java/org/lavenderstage/standin/executor/FakeExecutorServer.java
+++ b/standin/src/main/java/org/lavenderstage/standin/executor/FakeExecutorServer.java
@@ -60,12 +60,12 @@
 
   private HttpResponse execute(ServiceRequestContext context, AggregatedHttpRequest request) {
     if (faults.isOn(FaultSwitch.Kind.DOWN) || faults.isOn(FaultSwitch.Kind.FAIL_ALL)) {
-      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+      return refusal(request);
     }
     if (busy.incrementAndGet() > slots) {
       ninth.increment();
       busy.decrementAndGet();
-      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+      return refusal(request);
     }
     started.increment();
     runs.started(header(request, Headers.WORKSPACE), header(request, Headers.IDEMPOTENCY_KEY));
@@ -80,6 +80,15 @@
         context.eventLoop());
   }
 
+  private static HttpResponse refusal(AggregatedHttpRequest request) {
+    ResponseHeaders headers =
+        ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
+            .add(Headers.REQUEST_ID, header(request, Headers.REQUEST_ID))
+            .contentLength(0)
+            .build();
+    return HttpResponse.of(headers);
+  }
+
   private HttpResponse answer(AggregatedHttpRequest request) {
     String body = answerBody(header(request, Headers.WORKSPACE), request.content().array());
     String id = header(request, Headers.REQUEST_ID);
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -37,7 +37,9 @@
   /** A duty failed and goes on. */
   DUTY_FAILED(5002),
   /** The VM list cannot be read. */
-  VM_LIST_FAILED(5003);
+  VM_LIST_FAILED(5003),
+  /** The owner of a claim gave no answer over the peer link. */
+  OWNER_UNREACHABLE(6001);
 
   private final int number;
 
