Fuzz and matrix of the claims under virtual time, with broken variants

Two or three real coordinators and folds over one fake log, with steps and faults as data. Oracles see only what was submitted, started and answered: runs per key <= 1; not-run before any start, and a later start only of a later submission; own answer only; also that each caller is answered and all folds are equal once the faults end.

--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/claim/ClaimFault.java
@@ -0,0 +1,19 @@
+package org.lavenderstage.core.claim;
+
+/** Faults of the matrix. Each is brought about in front of one step of a request's course. */
+enum ClaimFault {
+  APPEND_ANSWER_LOST,
+  LOG_DOWN,
+  CLAIM_SLOW,
+  ENTRY_KILLED,
+  ENTRY_KILLED_WITH_AN_APPEND_UNDER_WAY,
+  ENTRY_FROZEN_PAST_THE_DEADLINE,
+  ENTRY_FROZEN_AFTER_GIVING_UP,
+  REPEATS_THROUGH_TWO_ENTRIES,
+  ALL_ENTRIES_REPLACED,
+  KEY_GROWS_OLD,
+  KEY_GROWS_TOO_OLD,
+  ANSWER_CROSSED,
+  ANSWER_CUT_OR_LATE,
+  REFUSED_BY_THE_UPSTREAM
+}
