--- a/core/src/test/java/org/lavenderstage/core/claim/ClaimWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/claim/ClaimWorld.java
@@ -53,7 +53,7 @@
 
   private RequestKey newKey(long aheadMillis) {
     long time = START_MILLIS + millis + aheadMillis;
-    UUID uuid = new UUID(time << 16 | 0x7000, 0x8000000000000000L | ++lastKey);
+    UUID uuid = new UUID((time << 16) | 0x7000, 0x8000000000000000L | ++lastKey);
     return new RequestKey("workspace", uuid.toString());
   }
 
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/ledger/claim/ClaimLedgerTest.java
@@ -0,0 +1,110 @@
+package org.lavenderstage.core.ledger.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.ledger.RecordPosition;
+import org.lavenderstage.core.record.LedgerRecord;
+import org.lavenderstage.core.record.RequestClaimed;
+import org.lavenderstage.core.record.RequestReleased;
+import org.lavenderstage.core.record.RequestSettled;
+
+class ClaimLedgerTest {
+  private static final ClaimWindow WINDOW = new ClaimWindow(10_000, 1000, 100);
+  private static final long START = 1_700_000_000_000L;
+
+  private final ClaimLedger ledger = new ClaimLedger(WINDOW, 2);
+  private long offset;
+
+  @Test
+  void theFirstClaimInLogOrderWinsAndOnlyItsOwnerEndsIt() {
+    String key = key(0);
+    assertTrue(apply(0, claim(key, "a", 1)));
+    assertFalse(apply(1, claim(key, "b", 1)));
+    assertFalse(apply(2, claim(key, "b", 2)));
+    assertFalse(apply(3, new RequestReleased("w", key, "b", 1)));
+    assertTrue(apply(4, new RequestReleased("w", key, "a", 1)));
+    assertFalse(apply(5, new RequestSettled("w", key, "a", 1)));
+    assertFalse(apply(6, claim(key, "b", 1)));
+    assertTrue(apply(7, claim(key, "b", 2)));
+  }
+
+  @Test
+  void aKeyOutsideTheWindowIsRefusedByAppendTime() {
+    assertFalse(apply(10_101, claim(key(0), "a", 1)));
+    assertTrue(apply(10_101, claim(key(1), "a", 1)));
+    assertFalse(apply(10_101, claim(key(10_101 + 1101), "a", 1)));
+    assertTrue(apply(10_101, claim(key(10_101 + 1100), "a", 1)));
+  }
+
+  @Test
+  void anAppendTimeThatGoesBackOpensNoWindowAgain() {
+    apply(20_000, claim(key(20_000), "a", 1));
+    assertFalse(apply(5000, claim(key(5000), "a", 1)));
+  }
+
+  @Test
+  void oldClaimsAreForgottenAndTheirKeysStayRefused() {
+    apply(0, claim(key(0), "a", 1));
+    apply(10_201, claim(key(10_201), "a", 1));
+    assertEquals(Optional.empty(), ledger.claim(new RequestKey("w", key(0))));
+    assertEquals(1, ledger.size());
+    assertFalse(apply(10_201, claim(key(0), "b", 1)));
+  }
+
+  @Test
+  void aFullLedgerTakesNoFurtherKey() {
+    assertTrue(apply(0, claim(key(0), "a", 1)));
+    assertTrue(apply(0, claim(key(1), "a", 1)));
+    assertFalse(apply(0, claim(key(2), "a", 1)));
+  }
+
+  @Test
+  void aKeyHasOneFormAndOnlyVersionSevenIsTaken() {
+    String key = key(0);
+    assertEquals(Optional.of(key), KeyTime.canonical(key.toUpperCase(Locale.ROOT)));
+    assertFalse(apply(0, claim(key.toUpperCase(Locale.ROOT), "a", 1)));
+    assertEquals(Optional.empty(), KeyTime.canonical(UUID.randomUUID().toString()));
+    assertEquals(Optional.empty(), KeyTime.canonical("1-2-7000-8000-5"));
+    assertEquals(Optional.empty(), KeyTime.canonical(""));
+  }
+
+  @Test
+  void entriesWithOtherWindowsShowOtherDigests() {
+    assertNotEquals(ledger.digest(), new ClaimLedger(new ClaimWindow(1, 1, 1), 2).digest());
+  }
+
+  /** An entry refuses a key before the fold does, and the fold before it forgets. */
+  @Property(seed = "1", tries = 1000)
+  void aKeyIsRefusedBeforeItsClaimMayBeForgotten(
+      @ForAll @LongRange(min = 0, max = 50_000) long keyMillis,
+      @ForAll @LongRange(min = 0, max = 50_000) long foldMillis,
+      @ForAll @LongRange(min = -100, max = 100) long clockError) {
+    boolean forgotten = keyMillis < WINDOW.forgetBelowMillis(foldMillis);
+    boolean valid = WINDOW.isValid(keyMillis, foldMillis);
+    boolean accepted = WINDOW.accepts(keyMillis, foldMillis + clockError);
+    assertFalse(forgotten && valid);
+    assertFalse(accepted && !valid);
+  }
+
+  private static String key(long millis) {
+    return new UUID(((START + millis) << 16) | 0x7000, 0x8000000000000000L).toString();
+  }
+
+  private static RequestClaimed claim(String key, String entry, int attempt) {
+    return new RequestClaimed("w", key, entry, attempt);
+  }
+
+  private boolean apply(long millis, LedgerRecord record) {
+    return ledger.apply(new RecordPosition(offset++, START + millis), record);
+  }
+}
