--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -68,6 +68,7 @@
   private final VmDirectory directory;
   private final Membership membership;
   private final PeerServer peerServer;
+  private final HttpExecutorClient executorClient;
   private final Dispatcher dispatcher;
   private final ClaimWindow claimWindow;
   private final StreamReplica<ClaimLedger> claimReplica;
@@ -102,9 +103,8 @@
         new ClaimWindow(
             settings.claimWindowMillis(), settings.claimAheadMillis(), settings.clockSkewMillis());
     claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger(claimWindow, settings.claimLimit()));
-    dispatcher =
-        new Dispatcher(
-            new HttpExecutorClient(settings.bodyLimitBytes()), directory, settings.ringSize());
+    executorClient = new HttpExecutorClient(settings.bodyLimitBytes());
+    dispatcher = new Dispatcher(executorClient, directory, settings.ringSize());
     claims =
         new ClaimDesk(
             name,
@@ -345,6 +345,7 @@
     claims.close();
     directory.close();
     dispatcher.close();
+    executorClient.close();
     appenders.forEach(StreamAppender::close);
     replicas.forEach(StreamReplica::close);
     peerServer.close();
