--- a/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
@@ -1,7 +1,11 @@
 package org.lavenderstage.core.ledger.claim;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.FoldState;
@@ -15,15 +19,31 @@
 /**
  * The fold of the claims of non-idempotent requests. The first valid claim in log order wins, and
  * only its owner can release it, so that nobody dispatches what another entry may still dispatch.
+ * Claims of keys that are older than the window are forgotten by the append times alone, so that
+ * every process forgets the same ones at the same offset.
  */
 public final class ClaimLedger implements Fold {
-  private final Map<RequestKey, ClaimState> claims = new TreeMap<>();
+  private final ClaimWindow window;
+  private final int limit;
+  private final Map<RequestKey, ClaimState> claims = new HashMap<>();
+  private final TreeMap<Long, Set<RequestKey>> keysByTime = new TreeMap<>();
+  private long foldMillis;
 
-  /** Starts without claims. */
-  public ClaimLedger() {}
+  /**
+   * Starts without claims.
+   *
+   * @param window how far a key's time may lie from the append time; the same on every entry
+   * @param limit most claims that are kept; the same on every entry
+   */
+  public ClaimLedger(ClaimWindow window, int limit) {
+    this.window = window;
+    this.limit = limit;
+  }
 
   @Override
   public boolean apply(RecordPosition at, LedgerRecord record) {
+    foldMillis = Math.max(foldMillis, at.appendTimeMillis());
+    forget();
     return switch (record) {
       case RequestClaimed claimed -> claim(at, claimed);
       case RequestReleased released ->
@@ -42,21 +62,36 @@
     };
   }
 
+  private void forget() {
+    Map<Long, Set<RequestKey>> old = keysByTime.headMap(window.forgetBelowMillis(foldMillis));
+    old.values().forEach(claims.keySet()::removeAll);
+    old.clear();
+  }
+
   private boolean claim(RecordPosition at, RequestClaimed claimed) {
     RequestKey key = new RequestKey(claimed.workspace(), claimed.key());
     ClaimState known = claims.get(key);
     int lastAttempt = known == null ? 0 : known.attempt();
     boolean free = known == null || known.phase() == ClaimState.Phase.RELEASED;
-    if (!free || claimed.attempt() != lastAttempt + 1) {
+    if (!free || claimed.attempt() != lastAttempt + 1 || !isInWindow(key)) {
       return false;
     }
-    claims.put(
+    if (known == null && claims.size() >= limit) {
+      return false;
+    }
+    keep(
         key,
         new ClaimState(
             claimed.entry(), claimed.attempt(), ClaimState.Phase.CLAIMED, at.appendTimeMillis()));
     return true;
   }
 
+  private void keep(RequestKey key, ClaimState claim) {
+    long keyMillis = KeyTime.millis(key.key()).orElseThrow();
+    keysByTime.computeIfAbsent(keyMillis, time -> new HashSet<>()).add(key);
+    claims.put(key, claim);
+  }
+
   private boolean end(RequestKey key, String entry, int attempt, ClaimState.Phase phase) {
     ClaimState known = claims.get(key);
     if (known == null
@@ -79,6 +114,26 @@
     return Optional.ofNullable(claims.get(key));
   }
 
+  /**
+   * Tells whether a claim of a key could take effect at the time of the last record.
+   *
+   * @param key the request
+   * @return whether the key's time lies inside the window
+   */
+  public boolean isInWindow(RequestKey key) {
+    OptionalLong keyMillis = KeyTime.millis(key.key());
+    return keyMillis.isPresent() && window.isValid(keyMillis.getAsLong(), foldMillis);
+  }
+
+  /**
+   * Returns the latest append time that was read.
+   *
+   * @return milliseconds since 1970, 0 for none
+   */
+  public long foldMillis() {
+    return foldMillis;
+  }
+
   /**
    * Counts the claims that are kept.
    *
@@ -90,13 +145,14 @@
 
   @Override
   public String digest() {
-    return new StateDigest().add(claims).hex();
+    return new StateDigest().add(window).add(limit).add(new TreeMap<>(claims)).hex();
   }
 
   @Override
   public ClaimsState snapshot() {
     return new ClaimsState(
-        claims.entrySet().stream()
+        foldMillis,
+        new TreeMap<>(claims).entrySet().stream()
             .map(entry -> new ClaimsState.KeyedClaim(entry.getKey(), entry.getValue()))
             .toList());
   }
@@ -106,7 +162,9 @@
     if (!(state instanceof ClaimsState kept)) {
       throw new IllegalArgumentException("no state of claims: " + state.getClass());
     }
+    foldMillis = kept.foldMillis();
     claims.clear();
-    kept.claims().forEach(keyed -> claims.put(keyed.key(), keyed.claim()));
+    keysByTime.clear();
+    kept.claims().forEach(keyed -> keep(keyed.key(), keyed.claim()));
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimsState.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimsState.java
@@ -6,9 +6,10 @@
 /**
  * The whole state of the claims.
  *
+ * @param foldMillis latest append time that was read in milliseconds since 1970
  * @param claims every claim that is kept, in the order of the keys
  */
-public record ClaimsState(List<KeyedClaim> claims) implements FoldState {
+public record ClaimsState(long foldMillis, List<KeyedClaim> claims) implements FoldState {
   /** Copies the claims. */
   public ClaimsState {
     claims = List.copyOf(claims);
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -17,6 +17,7 @@
 import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.cell.CellLedger;
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
+import org.lavenderstage.core.ledger.claim.ClaimWindow;
 import org.lavenderstage.core.membership.Member;
 import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.entry.admin.AdminServer;
@@ -31,7 +32,8 @@
 import org.lavenderstage.entry.peer.Membership;
 import org.lavenderstage.entry.peer.PeerRecovery;
 import org.lavenderstage.entry.peer.PeerServer;
-import org.lavenderstage.entry.request.ClaimCoordinator;
+import org.lavenderstage.entry.request.CallerErrorHandler;
+import org.lavenderstage.entry.request.ClaimDesk;
 import org.lavenderstage.entry.request.RequestService;
 import org.lavenderstage.entry.task.Cell;
 import org.lavenderstage.entry.task.CellOwner;
@@ -41,6 +43,7 @@
 import org.lavenderstage.platform.Log;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
+import org.lavenderstage.wire.peer.AnswerQuery;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.peer.PeerMessage;
 import org.lavenderstage.wire.peer.SnapshotQuery;
@@ -66,7 +69,11 @@
   private final VmDirectory directory;
   private final Membership membership;
   private final PeerServer peerServer;
+  private final PlatformClients clients;
   private final Dispatcher dispatcher;
+  private final ClaimWindow claimWindow;
+  private final StreamReplica<ClaimLedger> claimReplica;
+  private final ClaimDesk claims;
   private final List<Cell> cells = new ArrayList<>();
   private final List<CellOwner> owners = new ArrayList<>();
   private final EntryMetrics metrics = new EntryMetrics();
@@ -95,6 +102,7 @@
    */
   public Entry(EntrySettings settings, PlatformClients clients) {
     this.settings = settings;
+    this.clients = clients;
     this.name = settings.vm() + "-" + UUID.randomUUID();
     Log log = clients.log();
     directory = new VmDirectory(clients.vmList(), VM_LIST_POLL_MILLIS);
@@ -105,10 +113,19 @@
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     appender(configReplica, log, budget);
-    StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
-    ClaimCoordinator claims =
-        new ClaimCoordinator(name, claimReplica, appender(claimReplica, log, budget));
+    claimWindow =
+        new ClaimWindow(
+            settings.claimWindowMillis(), settings.claimAheadMillis(), settings.clockSkewMillis());
+    claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger(claimWindow, settings.claimLimit()));
     dispatcher = new Dispatcher(clients.executors(), directory, settings.ringSize());
+    claims =
+        new ClaimDesk(
+            name,
+            settings,
+            claimReplica,
+            appender(claimReplica, log, budget),
+            dispatcher::submit,
+            this::peerAddress);
     for (String cell : settings.cells().split(",", -1)) {
       addCell(cell.strip(), clients, budget);
     }
@@ -120,7 +137,7 @@
             this::isFirst);
     recovery = new PeerRecovery(settings.host() + ":" + peerServer.port(), directory, replicas);
     JobDesk desk = new JobDesk(cells, settings.claimWaitMillis());
-    server = startServer(claims, desk);
+    server = startServer(desk);
     adminServer =
         new AdminServer(
             new InetSocketAddress(settings.host(), settings.adminPort()),
@@ -133,6 +150,7 @@
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
+    claims.start();
     owners.forEach(CellOwner::start);
     recovery.start();
     snapshots.start();
@@ -162,18 +180,17 @@
     owners.add(new CellOwner(name, settings, cell, directory, clients.workers()));
   }
 
-  private Server startServer(ClaimCoordinator claims, JobDesk desk) {
+  private Server startServer(JobDesk desk) {
     JobService jobs = new JobService(settings, configuration, desk, this::isReady);
     ServerBuilder builder =
         Server.builder()
             .http(new InetSocketAddress(settings.host(), settings.httpPort()))
             .requestTimeoutMillis(0)
-            .maxRequestLength(settings.bodyLimitBytes() + 1L)
+            .maxRequestLength(settings.bodyLimitBytes())
             .gracefulShutdownTimeout(
                 Duration.ofMillis(DRAIN_POLL_MILLIS), Duration.ofMillis(settings.drainMillis()))
-            .service(
-                "/v1/workspaces/{workspace}/services/{service}/requests",
-                new RequestService(settings, configuration, claims, dispatcher, this::isReady))
+            .service("/v1/workspaces/{workspace}/services/{service}/requests", requestService())
+            .errorHandler(new CallerErrorHandler())
             .service("/v1/workspaces/{workspace}/jobs", jobs)
             .service("/v1/workspaces/{workspace}/jobs/{job}", jobs)
             .decorator(this::closeConnectionsWhileDraining);
@@ -194,6 +211,25 @@
     return service.serve(context, request);
   }
 
+  private RequestService requestService() {
+    return new RequestService(
+        settings,
+        configuration,
+        claims,
+        claimWindow,
+        claimReplica::logNowMillis,
+        dispatcher,
+        metrics,
+        this::isReady);
+  }
+
+  private Optional<String> peerAddress(String entry) {
+    return membership.live().stream()
+        .filter(member -> member.entry().equals(entry))
+        .map(Member::peerAddress)
+        .findFirst();
+  }
+
   private EntryAddresses boundAddresses() {
     return new EntryAddresses(
         settings.host() + ":" + server.activeLocalPort(),
@@ -210,6 +246,7 @@
         "lavenderstage_queued_requests", "Requests that wait.", () -> dispatcher.queued());
     metrics.gauge(
         "lavenderstage_inflight_requests", "Requests at executors.", () -> dispatcher.inFlight());
+    metrics.gauge("lavenderstage_open_claims", "Claims under way.", () -> claims.openKeys());
     metrics.gauge("lavenderstage_live_entries", "Live entries.", () -> membership.live().size());
     metrics.gauge(
         "lavenderstage_log_lag_records",
@@ -236,6 +273,7 @@
         yield Optional.empty();
       }
       case SnapshotQuery query -> Optional.of(recovery.answer(query));
+      case AnswerQuery query -> Optional.of(claims.answer(query));
       default -> Optional.empty();
     };
   }
@@ -328,7 +366,7 @@
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMillis());
     try {
       TimeUnit.MILLISECONDS.sleep(settings.unreadyMillis());
-      while (System.nanoTime() < until && dispatcher.queued() + dispatcher.inFlight() > 0) {
+      while (System.nanoTime() < until && hasOpenRequests()) {
         TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -336,6 +374,10 @@
     }
   }
 
+  private boolean hasOpenRequests() {
+    return dispatcher.queued() + dispatcher.inFlight() + claims.openKeys() > 0;
+  }
+
   /** Stops without any answer or handover, as a killed process would. */
   public void kill() {
     CompletableFuture<?> unused = server.closeAsync();
@@ -347,8 +389,10 @@
     snapshots.close();
     recovery.close();
     membership.close();
+    claims.close();
     directory.close();
     dispatcher.close();
+    clients.close();
     appenders.forEach(StreamAppender::close);
     replicas.forEach(StreamReplica::close);
     peerServer.close();
--- a/entry/src/main/java/org/lavenderstage/entry/PlatformClients.java
+++ b/entry/src/main/java/org/lavenderstage/entry/PlatformClients.java
@@ -18,9 +18,15 @@
  * @param vmList the platform's list of VMs
  * @param workers commands to workers
  * @param executors requests to executors
+ * @param connections closed with the entry
  */
 public record PlatformClients(
-    Log log, VmList vmList, WorkerClient workers, ExecutorClient executors) {
+    Log log,
+    VmList vmList,
+    WorkerClient workers,
+    ExecutorClient executors,
+    HttpExecutorClient connections)
+    implements AutoCloseable {
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
   /**
@@ -30,10 +36,17 @@
    * @return the clients
    */
   public static PlatformClients http(EntrySettings settings) {
+    HttpExecutorClient executors = new HttpExecutorClient(settings.bodyLimitBytes());
     return new PlatformClients(
         new HttpLog(settings.logAddress(), TIMEOUT),
         new HttpVmList(settings.vmListAddress(), TIMEOUT),
         new HttpWorkerClient(TIMEOUT),
-        new HttpExecutorClient(settings.bodyLimitBytes()));
+        executors,
+        executors);
+  }
+
+  @Override
+  public void close() {
+    connections.close();
   }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamAppender.java
@@ -104,6 +104,7 @@
 
   private boolean append(byte[] bytes) throws InterruptedException {
     if (isReadBack()) {
+      failing = false;
       return true;
     }
     while (!budget.tryTake()) {
--- a/launcher/src/main/java/org/lavenderstage/launcher/demo/FreezableClients.java
+++ b/launcher/src/main/java/org/lavenderstage/launcher/demo/FreezableClients.java
@@ -31,7 +31,8 @@
         new FreezableLog(clients.log(), gate),
         vmList(clients.vmList(), gate),
         new FreezableWorkers(clients.workers(), gate),
-        executors(clients.executors(), gate));
+        executors(clients.executors(), gate),
+        clients.connections());
   }
 
   private static VmList vmList(VmList list, FreezeGate gate) {
