--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotOwners.java
@@ -0,0 +1,72 @@
+package org.lavenderstage.core.routing;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Names the owner of each slot by rendezvous hashing over a set of entry VMs. The slots of an
+ * executor are spread: no VM gets more than the rounded-up average of them.
+ */
+public final class SlotOwners {
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+  private static final long MIX_A = 0xff51afd7ed558ccdL;
+  private static final long MIX_B = 0xc4ceb9fe1a85ec53L;
+  private static final int MIX_SHIFT = 33;
+
+  private SlotOwners() {}
+
+  /**
+   * Names the owners of an executor's slots.
+   *
+   * @param executor identifier of the executor
+   * @param slots count of its slots
+   * @param vms the entry VMs, each once
+   * @return for each slot the index of its owner in the list, -1 where the list is empty
+   */
+  public static int[] owners(String executor, int slots, List<String> vms) {
+    int[] owners = new int[slots];
+    Arrays.fill(owners, -1);
+    if (vms.isEmpty()) {
+      return owners;
+    }
+    int most = (slots + vms.size() - 1) / vms.size();
+    int[] held = new int[vms.size()];
+    long[] hashes = new long[vms.size()];
+    for (int i = 0; i < hashes.length; i++) {
+      hashes[i] = mix(hash(executor) ^ Long.rotateLeft(hash(vms.get(i)), 1));
+    }
+    for (int slot = 0; slot < slots; slot++) {
+      owners[slot] = highest(hashes, held, most, slot);
+      held[owners[slot]]++;
+    }
+    return owners;
+  }
+
+  private static int highest(long[] hashes, int[] held, int most, int slot) {
+    int best = -1;
+    long bestWeight = 0;
+    for (int i = 0; i < hashes.length; i++) {
+      long weight = mix(hashes[i] + slot * FNV_OFFSET);
+      if (held[i] < most && (best < 0 || Long.compareUnsigned(weight, bestWeight) > 0)) {
+        best = i;
+        bestWeight = weight;
+      }
+    }
+    return best;
+  }
+
+  private static long hash(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return mix(hash);
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> MIX_SHIFT)) * MIX_A;
+    mixed = (mixed ^ (mixed >>> MIX_SHIFT)) * MIX_B;
+    return mixed ^ (mixed >>> MIX_SHIFT);
+  }
+}
