Give the entry its share of the slots, lending, weighted fair admission and parallel heartbeats

Cause: heartbeats went out one after the other, so one dead peer with a 200 ms timeout delayed all; each peer now has its own feed with backoff, and only the first failure and the recovery are logged. The dispatcher is a thin shell over core: AdmissionControl (ranks, fair order between workspaces, earliest deadline, floor, predicted wait, booked returns), SharedSlotsPolicy (breaker, latency) and SlotShares with lending over the peer link.

--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/admission/AdmissionQueue.java
@@ -0,0 +1,156 @@
+package org.lavenderstage.core.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The requests of one service that wait for a slot: ranks in order, within a rank weighted fair
+ * between workspaces, within a workspace by deadline. The last rank that waits is given a floor:
+ * one turn in so many, so that batch moves forward.
+ *
+ * @param <T> type of what waits
+ */
+public final class AdmissionQueue<T> {
+  /** Turns of which the last rank gets one, while a higher rank waits. */
+  public static final int FLOOR_TURNS = 20;
+
+  private final int capacity;
+  private final int workspaceCapacity;
+  private final TreeMap<Integer, RankQueue<T>> ranks = new TreeMap<>();
+  private int size;
+  private int turnsWithoutFloor;
+  private long order;
+
+  /**
+   * Makes an empty queue.
+   *
+   * @param capacity most requests that may wait
+   * @param workspaceCapacity most requests of one workspace and rank that may wait
+   */
+  public AdmissionQueue(int capacity, int workspaceCapacity) {
+    this.capacity = capacity;
+    this.workspaceCapacity = workspaceCapacity;
+  }
+
+  /**
+   * Lets a request wait.
+   *
+   * @param waiting the request
+   * @return false where too much waits
+   */
+  public boolean offer(Waiting<T> waiting) {
+    RankQueue<T> rank = ranks.computeIfAbsent(waiting.rank(), key -> new RankQueue<>());
+    if (size >= capacity || rank.ownSize(waiting.workspace()) >= workspaceCapacity) {
+      return false;
+    }
+    rank.add(waiting, order++);
+    size++;
+    return true;
+  }
+
+  /**
+   * Returns the request whose turn it is without taking it.
+   *
+   * @return the request, empty where none waits
+   */
+  public Optional<Waiting<T>> peek() {
+    return size == 0 ? Optional.empty() : Optional.of(nextRank().turn().first());
+  }
+
+  /**
+   * Takes the request whose turn it is.
+   *
+   * @return the request, empty where none waits
+   */
+  public Optional<Waiting<T>> take() {
+    if (size == 0) {
+      return Optional.empty();
+    }
+    RankQueue<T> next = nextRank();
+    if (waitingRanks() > 1) {
+      turnsWithoutFloor = turnsWithoutFloor < FLOOR_TURNS - 1 ? turnsWithoutFloor + 1 : 0;
+    }
+    size--;
+    return Optional.of(next.take());
+  }
+
+  private RankQueue<T> nextRank() {
+    RankQueue<T> first = null;
+    RankQueue<T> last = null;
+    for (RankQueue<T> rank : ranks.values()) {
+      if (rank.size() > 0) {
+        first = first == null ? rank : first;
+        last = rank;
+      }
+    }
+    return turnsWithoutFloor < FLOOR_TURNS - 1 ? first : last;
+  }
+
+  private int waitingRanks() {
+    int count = 0;
+    for (RankQueue<T> rank : ranks.values()) {
+      count += rank.size() > 0 ? 1 : 0;
+    }
+    return count;
+  }
+
+  /**
+   * Takes out the requests whose deadline has passed.
+   *
+   * @param now monotonic time in nanoseconds
+   * @return the requests
+   */
+  public List<Waiting<T>> removeExpired(long now) {
+    List<Waiting<T>> expired = new ArrayList<>();
+    for (RankQueue<T> rank : ranks.values()) {
+      expired.addAll(rank.removeExpired(now));
+    }
+    size -= expired.size();
+    return expired;
+  }
+
+  /**
+   * Counts the requests that would be served before a new one.
+   *
+   * @param rank rank of the new one
+   * @param workspace its workspace
+   * @param share weight of the workspace
+   * @return the count
+   */
+  public int ahead(int rank, String workspace, int share) {
+    int ahead = 0;
+    for (Map.Entry<Integer, RankQueue<T>> entry : ranks.entrySet()) {
+      if (entry.getKey() < rank) {
+        ahead += entry.getValue().size();
+      } else if (entry.getKey() == rank) {
+        ahead += entry.getValue().ahead(workspace, share);
+      }
+    }
+    return ahead;
+  }
+
+  /**
+   * Returns the part of its rank's capacity that a workspace gets while those that wait go on.
+   *
+   * @param rank the rank
+   * @param workspace the workspace
+   * @param share weight of the workspace
+   * @return the part, up to one
+   */
+  public double fraction(int rank, String workspace, int share) {
+    RankQueue<T> queue = ranks.get(rank);
+    return queue == null ? 1 : queue.fraction(workspace, share);
+  }
+
+  /**
+   * Counts the requests that wait.
+   *
+   * @return the count
+   */
+  public int size() {
+    return size;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/admission/ServiceTimes.java
@@ -0,0 +1,34 @@
+package org.lavenderstage.core.admission;
+
+/** The measured mean time for which a request holds a slot, from the latest requests. */
+public final class ServiceTimes {
+  private static final double WEIGHT = 1.0 / 256;
+  private static final long FIRST_GUESS_NANOS = 20_000_000;
+  private static final int WARM_UP = 256;
+
+  private double mean = FIRST_GUESS_NANOS;
+  private long samples;
+
+  /** Starts with a guess. */
+  public ServiceTimes() {}
+
+  /**
+   * Takes the time of one request.
+   *
+   * @param nanos the time in nanoseconds
+   */
+  public void add(long nanos) {
+    samples++;
+    double weight = samples < WARM_UP ? 1.0 / samples : WEIGHT;
+    mean += (nanos - mean) * weight;
+  }
+
+  /**
+   * Returns the mean.
+   *
+   * @return the mean in nanoseconds
+   */
+  public double meanNanos() {
+    return mean;
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/routing/ExecutorSlots.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/ExecutorSlots.java
@@ -106,6 +106,14 @@
     return Optional.empty();
   }
 
+  int freeLoans() {
+    int count = 0;
+    for (Borrowed loan : borrowed) {
+      count += loan.busy ? 0 : 1;
+    }
+    return count;
+  }
+
   /** Ends the use of a borrowed slot; a lost request's slot is left to the end of its loan. */
   void releaseBorrowed(String lender, long loanId, boolean lost) {
     for (int i = 0; i < borrowed.size(); i++) {
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/routing/RandomPolicy.java
@@ -0,0 +1,38 @@
+package org.lavenderstage.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Chooses any executor, with no share and no count. */
+public final class RandomPolicy implements RoutingPolicy {
+  private List<String> executors = List.of();
+  private final RandomSource random;
+
+  /**
+   * Makes a policy without executors.
+   *
+   * @param random chooses
+   */
+  public RandomPolicy(RandomSource random) {
+    this.random = random;
+  }
+
+  @Override
+  public void replace(List<String> usable) {
+    executors = List.copyOf(usable);
+  }
+
+  @Override
+  public Optional<SlotTicket> choose(long neededNanos, long now) {
+    if (executors.isEmpty()) {
+      return Optional.empty();
+    }
+    String executor = executors.get(random.nextInt(executors.size()));
+    return Optional.of(new SlotTicket(executor, 0, "", 0));
+  }
+
+  @Override
+  public void ended(SlotTicket ticket, Ending ending, long tookNanos, long now) {
+    // nothing is counted
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/routing/RoundRobinPolicy.java
@@ -0,0 +1,39 @@
+package org.lavenderstage.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Chooses the executors in turn, with no share. */
+public final class RoundRobinPolicy implements RoutingPolicy {
+  private List<String> executors = List.of();
+  private int next;
+
+  /**
+   * Makes a policy without executors.
+   *
+   * @param first place in the list at which it begins
+   */
+  public RoundRobinPolicy(int first) {
+    next = first;
+  }
+
+  @Override
+  public void replace(List<String> usable) {
+    executors = List.copyOf(usable);
+  }
+
+  @Override
+  public Optional<SlotTicket> choose(long neededNanos, long now) {
+    if (executors.isEmpty()) {
+      return Optional.empty();
+    }
+    next = (next + 1) % executors.size();
+    String executor = executors.get(next);
+    return Optional.of(new SlotTicket(executor, 0, "", 0));
+  }
+
+  @Override
+  public void ended(SlotTicket ticket, Ending ending, long tookNanos, long now) {
+    // nothing is counted
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotLending.java
@@ -0,0 +1,135 @@
+package org.lavenderstage.core.routing;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Decides when an entry asks a peer for idle slots, whom, and how many it lends itself. One
+ * question is open at a time.
+ */
+public final class SlotLending {
+  private static final int MOST_PER_ASK = 16;
+  private static final long ANSWER_NANOS = 20_000_000;
+  private static final double LOW_PART = 0.15;
+  private static final double HIGH_PART = 0.35;
+  private static final int LEAST_LOW = 1;
+
+  private final RandomSource random;
+  private final Map<String, Integer> freeAtPeers = new TreeMap<>();
+  private boolean asking;
+  private long askedAt;
+
+  /**
+   * Makes lending without knowledge of peers.
+   *
+   * @param random chooses between peers
+   */
+  public SlotLending(RandomSource random) {
+    this.random = random;
+  }
+
+  /**
+   * A question to a peer.
+   *
+   * @param vm VM of the peer
+   * @param most most slots wanted
+   */
+  public record Ask(String vm, int most) {}
+
+  /**
+   * Notes how many idle slots a peer told of.
+   *
+   * @param vm VM of the peer
+   * @param free its idle slots
+   */
+  public void peerFree(String vm, int free) {
+    freeAtPeers.put(vm, free);
+  }
+
+  /**
+   * Decides whether to ask now.
+   *
+   * @param waiting requests that wait here
+   * @param slots slots at hand
+   * @param now monotonic time in nanoseconds
+   * @return whom to ask, empty for nobody
+   */
+  public Optional<Ask> ask(int waiting, SlotCount slots, long now) {
+    int wanted = waiting + low(slots) - slots.free();
+    if (wanted <= 0 || (asking && now - askedAt < ANSWER_NANOS)) {
+      return Optional.empty();
+    }
+    Optional<String> peer = choosePeer();
+    if (peer.isEmpty()) {
+      return Optional.empty();
+    }
+    asking = true;
+    askedAt = now;
+    return Optional.of(new Ask(peer.get(), Math.min(wanted, MOST_PER_ASK)));
+  }
+
+  private Optional<String> choosePeer() {
+    int sum = 0;
+    for (int free : freeAtPeers.values()) {
+      sum += Math.max(0, free);
+    }
+    if (sum == 0) {
+      return Optional.empty();
+    }
+    int left = random.nextInt(sum);
+    for (Map.Entry<String, Integer> peer : freeAtPeers.entrySet()) {
+      left -= Math.max(0, peer.getValue());
+      if (left < 0) {
+        return Optional.of(peer.getKey());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Notes a peer's answer.
+   *
+   * @param vm VM of the peer
+   * @param free idle slots that it still has
+   */
+  public void answered(String vm, int free) {
+    asking = false;
+    freeAtPeers.put(vm, free);
+  }
+
+  /**
+   * Forgets a peer that does not answer.
+   *
+   * @param vm VM of the peer
+   */
+  public void forget(String vm) {
+    freeAtPeers.remove(vm);
+  }
+
+  /**
+   * Tells how many slots may be lent.
+   *
+   * @param waiting requests that wait here
+   * @param slots slots at hand
+   * @return the count
+   */
+  public static int lendable(int waiting, SlotCount slots) {
+    return waiting > 0 ? 0 : Math.max(0, (slots.free() - low(slots)) / 2);
+  }
+
+  /**
+   * Tells whether idle borrowed slots should be returned.
+   *
+   * @param waiting requests that wait here
+   * @param slots slots at hand
+   * @return whether there are far more idle slots than needed
+   */
+  public static boolean hasTooMany(int waiting, SlotCount slots) {
+    return waiting == 0 && slots.free() > Math.max(LEAST_LOW + 1, HIGH_PART * slots.all());
+  }
+
+  private static int low(SlotCount slots) {
+    return Math.max(LEAST_LOW, (int) Math.round(LOW_PART * slots.all()));
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
@@ -1,7 +1,6 @@
 package org.lavenderstage.core.routing;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,13 +15,12 @@
  *
  * <p>The entry divides the slots over a set of entry VMs and tells its peers the set with an epoch.
  * A slot that it gains may be used only once every peer has acknowledged the epoch and has told a
- * set by which the slot is not that peer's. A slot that it loses is given up in two steps: no new
+ * set by which the slot is this entry's. A slot that it loses is given up in two steps: no new
  * request uses it, and the new set is told only when no request or loan holds such a slot. So two
  * entries never use one slot at a time, however their views differ and however late or lossy the
  * messages are; see docs/design/slots.md for the proof and its assumptions.
  */
 public final class SlotShares {
-  private static final int CACHED_SETS = 16;
   private static final int LOAN_ID_BITS = 32;
   private static final int LOAN_MARGIN_DIVISOR = 16;
 
@@ -32,7 +30,7 @@
   private final SlotTiming timing;
   private final SlotPeers peers;
   private final Map<String, ExecutorSlots> executors = new LinkedHashMap<>();
-  private final Map<List<String>, Map<String, int[]>> ownerCache = new HashMap<>();
+  private final SlotOwnerTable owners;
   private Set<String> listed = new LinkedHashSet<>();
   private List<String> vms = List.of();
   private List<String> target = List.of();
@@ -40,6 +38,8 @@
   private long sequence;
   private long loans;
   private long steppedAt;
+  private long listedAt;
+  private boolean isListed;
   private boolean draining;
   private boolean settled;
 
@@ -58,6 +58,7 @@
     this.incarnation = incarnation;
     this.slotsPerExecutor = slotsPerExecutor;
     this.timing = timing;
+    this.owners = new SlotOwnerTable(slotsPerExecutor);
     this.peers = new SlotPeers(vm, timing.handoverNanos());
     this.steppedAt = now;
     this.loans = (long) incarnation.hashCode() << LOAN_ID_BITS;
@@ -71,6 +72,10 @@
    * @param now monotonic time in nanoseconds
    */
   public void list(List<String> entryVms, List<String> usable, long now) {
+    if (!isListed) {
+      isListed = true;
+      listedAt = now;
+    }
     peers.list(entryVms, now);
     Set<String> next = new LinkedHashSet<>(usable);
     if (!next.equals(listed)) {
@@ -85,11 +90,7 @@
 
   private ExecutorSlots newExecutor(String id, long now) {
     ExecutorSlots slots = new ExecutorSlots(slotsPerExecutor, now);
-    int[] before = owners(vms, id);
-    int[] after = owners(target, id);
-    for (int slot = 0; slot < slotsPerExecutor; slot++) {
-      slots.own(slot, isOwner(before[slot], vms, vm) && isOwner(after[slot], target, vm));
-    }
+    narrow(id, slots);
     return slots;
   }
 
@@ -130,7 +131,7 @@
     if (!target.equals(vms)) {
       changeSet(now);
     }
-    if (!settled) {
+    if (!settled && isListed && now - listedAt >= timing.startRestNanos()) {
       establish();
     }
     executors.values().forEach(slots -> slots.expireLoans(now));
@@ -152,10 +153,9 @@
   }
 
   private void narrow(String executor, ExecutorSlots slots) {
-    int[] before = owners(vms, executor);
-    int[] after = owners(target, executor);
     for (int slot = 0; slot < slotsPerExecutor; slot++) {
-      slots.own(slot, isOwner(before[slot], vms, vm) && isOwner(after[slot], target, vm));
+      boolean before = owners.isOwner(vm, vms, executor, slot);
+      slots.own(slot, before && owners.isOwner(vm, target, executor, slot));
     }
   }
 
@@ -187,7 +187,7 @@
       ExecutorSlots slots = executors.get(executor);
       for (int slot = 0; slot < slotsPerExecutor; slot++) {
         if (slots.isOwned(slot) && !slots.isEstablished(slot)) {
-          if (isGivenUpByAll(said, executor, slot)) {
+          if (isGrantedByAll(said, executor, slot)) {
             slots.establish(slot);
           } else {
             all = false;
@@ -205,29 +205,17 @@
         && ack.get().epoch() >= epoch;
   }
 
-  private boolean isGivenUpByAll(List<Optional<SlotAnnouncement>> said, String executor, int slot) {
+  /** Tells whether every peer's set gives the slot to this entry. */
+  private boolean isGrantedByAll(List<Optional<SlotAnnouncement>> said, String executor, int slot) {
     for (Optional<SlotAnnouncement> one : said) {
-      SlotAnnouncement peer = one.orElseThrow();
-      if (isOwner(owners(peer.vms(), executor)[slot], peer.vms(), peer.vm())) {
+      List<String> set = one.orElseThrow().vms();
+      if (!owners.isOwner(vm, set, executor, slot)) {
         return false;
       }
     }
     return true;
   }
 
-  private static boolean isOwner(int owner, List<String> set, String name) {
-    return owner >= 0 && set.get(owner).equals(name);
-  }
-
-  private int[] owners(List<String> set, String executor) {
-    if (ownerCache.size() > CACHED_SETS) {
-      ownerCache.clear();
-    }
-    return ownerCache
-        .computeIfAbsent(set, key -> new HashMap<>())
-        .computeIfAbsent(executor, id -> SlotOwners.owners(id, slotsPerExecutor, set));
-  }
-
   /**
    * Makes the next announcement.
    *
@@ -280,6 +268,18 @@
         && (slots.freeSlot(now) >= 0 || slots.freeBorrowed(now, neededNanos).isPresent());
   }
 
+  /**
+   * Counts the slots of an executor that could be taken, borrowed ones among them.
+   *
+   * @param executor identifier of the executor
+   * @param now monotonic time in nanoseconds
+   * @return the count
+   */
+  public int freeAll(String executor, long now) {
+    ExecutorSlots slots = executors.get(executor);
+    return slots == null ? 0 : slots.freeCount(now) + slots.freeLoans();
+  }
+
   /**
    * Gives a slot back.
    *
@@ -415,6 +415,15 @@
     return slots == null ? 0 : slots.busyCount();
   }
 
+  /**
+   * Returns the number of the set in force.
+   *
+   * @return the epoch
+   */
+  public long epoch() {
+    return epoch;
+  }
+
   /**
    * Returns the set over which this entry divides the slots.
    *
--- a/core/src/test/java/org/lavenderstage/core/routing/SlotSharesFuzzTest.java
+++ b/core/src/test/java/org/lavenderstage/core/routing/SlotSharesFuzzTest.java
@@ -84,7 +84,10 @@
   void catchesAHandoverShorterThanARequest() {
     SlotTiming hasty =
         new SlotTiming(
-            200 * SlotWorld.MILLIS, SlotWorld.TIMING.freezeNanos(), SlotWorld.TIMING.leaseNanos());
+            200 * SlotWorld.MILLIS,
+            SlotWorld.TIMING.freezeNanos(),
+            SlotWorld.TIMING.leaseNanos(),
+            SlotWorld.TIMING.startRestNanos());
     assertTrue(mostOverSeeds(new SlotWorld.Faults(false, false, hasty)) > SlotWorld.SLOTS);
   }
 
@@ -92,7 +95,10 @@
   void catchesAFrozenEntryThatGoesOnWithItsSlots() {
     SlotTiming heedless =
         new SlotTiming(
-            SlotWorld.TIMING.handoverNanos(), Long.MAX_VALUE, SlotWorld.TIMING.leaseNanos());
+            SlotWorld.TIMING.handoverNanos(),
+            Long.MAX_VALUE,
+            SlotWorld.TIMING.leaseNanos(),
+            SlotWorld.TIMING.startRestNanos());
     assertTrue(mostOverSeeds(new SlotWorld.Faults(false, false, heedless)) > SlotWorld.SLOTS);
   }
 
--- a/core/src/test/java/org/lavenderstage/core/routing/SlotWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/routing/SlotWorld.java
@@ -14,7 +14,8 @@
   static final int SLOTS = 8;
   static final long MILLIS = 1_000_000;
   static final long LONGEST_REQUEST = 2_000 * MILLIS;
-  static final SlotTiming TIMING = new SlotTiming(10_000 * MILLIS, 5_000 * MILLIS, 3_000 * MILLIS);
+  static final SlotTiming TIMING =
+      new SlotTiming(10_000 * MILLIS, 5_000 * MILLIS, 3_000 * MILLIS, 1_000 * MILLIS);
   private static final int MAX_DELAY_MILLIS = 3_000;
   private static final double LOSS = 0.2;
 
@@ -95,17 +96,17 @@
 
   private void sendAnnouncement(Node from, String to, SlotAnnouncement said) {
     boolean draining = from.draining;
-    SlotAnnouncement told = faults.ackAll() ? acknowledgingAll(said) : said;
+    SlotAnnouncement told = faults.ackAll() ? acknowledgingAll(said, to) : said;
     send(from.vm, to, node -> node.shares.heard(told, draining, now));
   }
 
-  private SlotAnnouncement acknowledgingAll(SlotAnnouncement said) {
+  private SlotAnnouncement acknowledgingAll(SlotAnnouncement said, String to) {
     List<SlotAnnouncement.Ack> acks = new ArrayList<>();
     for (Node node : nodes.values()) {
       acks.add(new SlotAnnouncement.Ack(node.vm, node.incarnation, Long.MAX_VALUE));
     }
     return new SlotAnnouncement(
-        said.vm(), said.incarnation(), said.sequence(), said.epoch(), List.of(), acks);
+        said.vm(), said.incarnation(), said.sequence(), said.epoch(), List.of(to), acks);
   }
 
   private void send(String from, String to, java.util.function.Consumer<Node> action) {
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -15,17 +15,20 @@
 import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
 import org.lavenderstage.core.membership.Member;
+import org.lavenderstage.core.routing.SlotTiming;
 import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.entry.admin.AdminServer;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.dispatch.DispatchParts;
 import org.lavenderstage.entry.dispatch.Dispatcher;
 import org.lavenderstage.entry.log.AppendBudget;
 import org.lavenderstage.entry.log.StreamAppender;
 import org.lavenderstage.entry.log.StreamReplica;
 import org.lavenderstage.entry.peer.Membership;
 import org.lavenderstage.entry.peer.PeerServer;
+import org.lavenderstage.entry.peer.SlotBoard;
 import org.lavenderstage.entry.request.ClaimCoordinator;
 import org.lavenderstage.entry.request.RequestService;
 import org.lavenderstage.entry.task.Cell;
@@ -89,7 +92,8 @@
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
     configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
     configuration = new Configuration(configReplica);
-    membership = new Membership(this::self, directory, settings.heartbeatMillis());
+    SlotBoard board = new SlotBoard();
+    membership = new Membership(this::self, directory, board, settings.heartbeatMillis());
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
@@ -97,7 +101,9 @@
         new ClaimCoordinator(name, claimReplica, appender(claimReplica, log, budget));
     dispatcher =
         new Dispatcher(
-            new HttpExecutorClient(settings.bodyLimitBytes()), directory, settings.ringSize());
+            new HttpExecutorClient(settings.bodyLimitBytes()),
+            dispatchParts(board),
+            settings.ringSize());
     for (String cell : settings.cells().split(",", -1)) {
       addCell(cell.strip(), log, budget);
     }
@@ -119,6 +125,16 @@
         LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
   }
 
+  private DispatchParts dispatchParts(SlotBoard board) {
+    long longest = TimeUnit.MILLISECONDS.toNanos(settings.longestRequestMillis());
+    long handover = TimeUnit.MILLISECONDS.toNanos(settings.slotHandoverMillis());
+    long startRest = TimeUnit.MILLISECONDS.toNanos(settings.heartbeatMillis());
+    SlotTiming timing =
+        new SlotTiming(handover, handover - longest, longest + handover / 4, startRest);
+    return new DispatchParts(
+        settings.vm(), name, directory, board, membership::peerAddress, timing, longest);
+  }
+
   private <F extends Fold> StreamReplica<F> replica(String stream, Log log, F fold) {
     StreamReplica<F> replica = new StreamReplica<>(stream, log, fold);
     replicas.add(replica);
@@ -198,7 +214,7 @@
     if (message instanceof Heartbeat heartbeat) {
       membership.heard(heartbeat);
     }
-    return Optional.empty();
+    return dispatcher == null ? Optional.empty() : dispatcher.handlePeer(message);
   }
 
   /**
@@ -209,6 +225,7 @@
   public boolean isReady() {
     return !draining
         && directory.isKnown()
+        && dispatcher.isReady()
         && replicas.stream().allMatch(StreamReplica::isCaughtUp);
   }
 
@@ -271,6 +288,7 @@
   @Override
   public void close() {
     draining = true;
+    dispatcher.drain();
     EventLog.info(LogEvent.ENTRY_DRAINING, "entry", name);
     owners.forEach(CellOwner::drain);
     awaitIdle();
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
@@ -1,60 +1,88 @@
 package org.lavenderstage.entry.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.lavenderstage.core.admission.WaitQueue;
+import org.lavenderstage.core.admission.AdmissionControl;
+import org.lavenderstage.core.admission.AdmissionDecision;
+import org.lavenderstage.core.admission.Placed;
+import org.lavenderstage.core.admission.RequestScheduler;
+import org.lavenderstage.core.admission.Waiting;
 import org.lavenderstage.core.outcome.ResultCode;
-import org.lavenderstage.core.routing.ExecutorId;
-import org.lavenderstage.core.routing.ExecutorTable;
+import org.lavenderstage.core.routing.RoutingPolicy;
+import org.lavenderstage.core.routing.SharedSlotsPolicy;
+import org.lavenderstage.core.routing.SlotCount;
+import org.lavenderstage.core.routing.SlotLending;
+import org.lavenderstage.core.routing.SlotLoan;
 import org.lavenderstage.entry.duty.BoundedRing;
 import org.lavenderstage.entry.duty.Duty;
-import org.lavenderstage.entry.vm.VmDirectory;
 import org.lavenderstage.platform.ExecutorClient;
 import org.lavenderstage.platform.ExecutorResult;
+import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.peer.SlotAsk;
+import org.lavenderstage.wire.peer.SlotGrant;
+import org.lavenderstage.wire.peer.SlotReturn;
+import org.lavenderstage.wire.peer.SlotState;
 import org.lavenderstage.wire.platform.VmEntry;
-import org.lavenderstage.wire.platform.VmRole;
 
 /**
  * Orders requests and sends them to executors. One thread owns the queues and the slots; all others
  * reach it through a bounded ring.
  */
 public final class Dispatcher implements AutoCloseable {
-  private static final int QUEUE_CAPACITY = 2048;
-  private static final int SLOTS_PER_EXECUTOR = 8;
+  private static final int QUEUE_CAPACITY = 4096;
+  private static final int WORKSPACE_CAPACITY = 2048;
   private static final int MAX_DRAIN = 256;
   private static final long IDLE_MICROS = 200;
   private static final long RETRY_AFTER_MILLIS = 1000;
-  private static final int MAX_ATTEMPTS = 3;
   private static final long REFRESH_NANOS = 100_000_000;
+  private static final long ASK_TIMEOUT_MILLIS = 50;
 
   private final ExecutorClient client;
-  private final VmDirectory directory;
-  private final BoundedRing<Event> ring;
-  private final ExecutorTable executors = new ExecutorTable(SLOTS_PER_EXECUTOR);
-  private final Map<String, WaitQueue<Attempt>> queues = new HashMap<>();
+  private final String vm;
+  private final SlotKeeper keeper;
+  private final long longestRequestNanos;
+  private final BoundedRing<DispatchEvent> ring;
+  private final Map<String, ServiceQueue> services = new HashMap<>();
+  private final Map<String, VmEntry> executors = new HashMap<>();
+  private final Set<Placed<Attempt>> sent = Collections.newSetFromMap(new IdentityHashMap<>());
+  private final LendingDuty lendingDuty;
   private final Duty duty;
   private long refreshedNanos;
+  private boolean keeperDraining;
   private volatile int queued;
+  private volatile boolean ready;
+  private volatile boolean draining;
+  private volatile boolean closed;
   private final AtomicInteger inFlight = new AtomicInteger();
 
   /**
    * Starts to dispatch.
    *
    * @param client sends to executors
-   * @param directory names the executors
+   * @param parts what the slots need to know and times
    * @param ringSize count of events that may wait, a power of two
    */
-  public Dispatcher(ExecutorClient client, VmDirectory directory, int ringSize) {
+  public Dispatcher(ExecutorClient client, DispatchParts parts, int ringSize) {
     this.client = client;
-    this.directory = directory;
+    this.vm = parts.vm();
+    this.longestRequestNanos = parts.longestRequestNanos();
+    this.keeper =
+        new SlotKeeper(
+            parts.vm(), parts.incarnation(), parts.directory(), parts.board(), parts.timing());
     this.ring = new BoundedRing<>(ringSize);
     this.refreshedNanos = System.nanoTime() - REFRESH_NANOS;
+    this.lendingDuty = new LendingDuty(parts.peerAddress(), this::publish);
     this.duty = new Duty("dispatch", this::step);
   }
 
@@ -64,130 +92,255 @@
    * @param request the request
    */
   public void submit(DispatchRequest request) {
-    if (!ring.offer(new Submitted(new Attempt(request, 1)))) {
-      refuse(request, ResultCode.OVERLOADED);
+    Attempt attempt = new Attempt(request, new Attempt.Tries());
+    if (closed || !ring.offer(new DispatchEvent.Submitted(attempt))) {
+      refuse(request, ResultCode.OVERLOADED, RETRY_AFTER_MILLIS);
     }
   }
 
+  /**
+   * Takes a peer's message about slots.
+   *
+   * @param message the message
+   * @return the reply, empty where the message asks for none or none can be given in time
+   */
+  public Optional<PeerMessage> handlePeer(PeerMessage message) {
+    switch (message) {
+      case SlotState state -> ring.offer(new DispatchEvent.PeerState(state));
+      case SlotReturn returned -> ring.offer(new DispatchEvent.PeerReturned(returned));
+      case SlotAsk ask -> {
+        return Optional.of(answer(ask));
+      }
+      default -> {
+        // other messages are not about slots
+      }
+    }
+    return Optional.empty();
+  }
+
+  private SlotGrant answer(SlotAsk ask) {
+    CompletableFuture<SlotGrant> reply = new CompletableFuture<>();
+    SlotGrant nothing = new SlotGrant(vm, 0, List.of());
+    if (!ring.offer(new DispatchEvent.PeerAsked(ask, reply))) {
+      return nothing;
+    }
+    return reply.completeOnTimeout(nothing, ASK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
+  }
+
+  /** Gives the slots up as soon as nothing waits any more. */
+  public void drain() {
+    draining = true;
+  }
+
   private void step() throws InterruptedException {
-    refreshExecutors();
+    long now = System.nanoTime();
+    if (now - refreshedNanos >= REFRESH_NANOS) {
+      refreshedNanos = now;
+      keeper.refresh(now);
+      replaceExecutors();
+    }
+    keeper.step(now);
     int taken = ring.drain(MAX_DRAIN, this::handle);
-    queues.values().forEach(this::serve);
-    queued = queues.values().stream().mapToInt(WaitQueue::size).sum();
+    services.values().forEach(this::serve);
+    queued = services.values().stream().mapToInt(service -> service.scheduler().size()).sum();
+    if (draining && queued == 0 && !keeperDraining) {
+      keeperDraining = true;
+      keeper.drain();
+    }
+    ready |= keeper.hasSlots();
+    keeper.publish(System.nanoTime());
     if (taken == 0) {
       TimeUnit.MICROSECONDS.sleep(IDLE_MICROS);
     }
   }
 
-  private void refreshExecutors() {
-    if (System.nanoTime() - refreshedNanos < REFRESH_NANOS) {
-      return;
+  private void replaceExecutors() {
+    Map<String, List<String>> byService = new HashMap<>();
+    for (VmEntry executor : keeper.executors()) {
+      executors.put(executor.id(), executor);
+      byService
+          .computeIfAbsent(executor.service(), service -> new ArrayList<>())
+          .add(executor.id());
+    }
+    byService.keySet().forEach(this::service);
+    for (ServiceQueue service : services.values()) {
+      service.policy().replace(byService.getOrDefault(service.service(), List.of()));
     }
-    refreshedNanos = System.nanoTime();
-    List<ExecutorId> usable =
-        directory.vms(VmRole.EXECUTOR).stream()
-            .filter(vm -> !vm.leaving())
-            .map(Dispatcher::executorId)
-            .toList();
-    executors.replace(usable);
   }
 
-  private static ExecutorId executorId(VmEntry vm) {
-    return new ExecutorId(vm.id(), vm.address(), vm.domain(), vm.service());
+  private ServiceQueue service(String name) {
+    return services.computeIfAbsent(name, this::newService);
+  }
+
+  private ServiceQueue newService(String name) {
+    SharedSlotsPolicy policy = new SharedSlotsPolicy(keeper.shares(), longestRequestNanos);
+    AdmissionControl<Attempt> admission =
+        new AdmissionControl<>(QUEUE_CAPACITY, WORKSPACE_CAPACITY);
+    SlotLending lending = new SlotLending(bound -> ThreadLocalRandom.current().nextInt(bound));
+    return new ServiceQueue(name, policy, new RequestScheduler<>(policy, admission), lending);
   }
 
-  private void handle(Event event) {
+  private void handle(DispatchEvent event) {
+    long now = System.nanoTime();
     switch (event) {
-      case Submitted submitted -> enqueue(submitted.attempt());
-      case Ended ended -> end(ended);
+      case DispatchEvent.Submitted submitted -> admit(submitted.attempt(), now);
+      case DispatchEvent.Ended ended -> end(ended, now);
+      case DispatchEvent.PeerState peer -> {
+        keeper.heard(peer.state(), now);
+        int free = peer.state().draining() ? 0 : peer.state().free();
+        services.values().forEach(one -> one.lending().peerFree(peer.state().vm(), free));
+      }
+      case DispatchEvent.PeerAsked asked -> lend(asked, now);
+      case DispatchEvent.PeerReturned returned ->
+          keeper.shares().takeBack(SlotKeeper.fromWire(returned.returned().loans()), now);
+      case DispatchEvent.Granted granted -> {
+        SlotGrant grant = granted.grant();
+        service(granted.service()).lending().answered(grant.vm(), grant.free());
+        keeper
+            .shares()
+            .borrow(grant.vm(), SlotKeeper.fromWire(grant.loans()), granted.askedNanos());
+      }
+      case DispatchEvent.AskFailed failed ->
+          service(failed.service()).lending().answered(failed.vm(), 0);
     }
   }
 
-  private void enqueue(Attempt attempt) {
+  private void admit(Attempt attempt, long now) {
     DispatchRequest request = attempt.request();
-    boolean taken =
-        queues
-            .computeIfAbsent(
-                request.request().service(), service -> new WaitQueue<>(QUEUE_CAPACITY))
-            .offer(attempt, request.rank(), request.deadlineNanos());
-    if (!taken) {
-      refuse(request, ResultCode.OVERLOADED);
+    Waiting<Attempt> waiting =
+        new Waiting<>(
+            attempt,
+            request.rank(),
+            request.request().workspace(),
+            request.share(),
+            request.deadlineNanos(),
+            false);
+    switch (service(request.request().service()).scheduler().submit(waiting, now)) {
+      case AdmissionDecision.Admitted admitted -> {
+        // it waits for its turn
+      }
+      case AdmissionDecision.Refused refused -> {
+        boolean full = refused.reason() == AdmissionDecision.Reason.QUEUE_FULL;
+        refuse(
+            request,
+            full ? ResultCode.OVERLOADED : ResultCode.DEADLINE_HOPELESS,
+            TimeUnit.NANOSECONDS.toMillis(refused.retryAfterNanos()));
+      }
     }
   }
 
-  private void serve(WaitQueue<Attempt> queue) {
-    Optional<Attempt> next = queue.peek();
+  private void lend(DispatchEvent.PeerAsked asked, long now) {
+    ServiceQueue service = service(asked.ask().service());
+    SlotCount count = service.scheduler().slots(now);
+    int most =
+        draining
+            ? 0
+            : Math.min(asked.ask().most(), SlotLending.lendable(service.scheduler().size(), count));
+    List<SlotLoan> lent = keeper.shares().lend(most, id -> service.policy().isUsable(id, now), now);
+    SlotGrant grant = new SlotGrant(vm, keeper.shares().freeOwn(now), SlotKeeper.toWire(lent));
+    if (!asked.reply().complete(grant)) {
+      keeper.shares().takeBack(lent, now);
+    }
+  }
+
+  private void serve(ServiceQueue service) {
+    long now = System.nanoTime();
+    RequestScheduler<Attempt> scheduler = service.scheduler();
+    for (Waiting<Attempt> expired : scheduler.removeExpired(now)) {
+      refuse(expired.item().request(), ResultCode.DEADLINE_PASSED, RETRY_AFTER_MILLIS);
+    }
+    Optional<Placed<Attempt>> next = scheduler.next(now);
     while (next.isPresent()) {
-      DispatchRequest request = next.get().request();
-      if (isTooLate(request)) {
-        queue.remove();
-        refuse(request, ResultCode.DEADLINE_PASSED);
-      } else {
-        Optional<ExecutorId> executor = executors.take(request.request().service());
-        if (executor.isEmpty()) {
-          return;
-        }
-        queue.remove();
-        dispatch(next.get(), executor.get());
-      }
-      next = queue.peek();
+      dispatch(scheduler, next.get());
+      next = scheduler.next(System.nanoTime());
     }
+    balance(service, System.nanoTime());
   }
 
-  private static boolean isTooLate(DispatchRequest request) {
-    return System.nanoTime() >= request.deadlineNanos() || !request.mayDispatch().getAsBoolean();
+  private void balance(ServiceQueue service, long now) {
+    int waiting = service.scheduler().size();
+    SlotCount count = service.scheduler().slots(now);
+    service
+        .lending()
+        .ask(waiting, count, now)
+        .ifPresent(
+            ask -> lendingDuty.ask(ask.vm(), new SlotAsk(vm, service.service(), ask.most())));
+    if (SlotLending.hasTooMany(waiting, count)) {
+      keeper
+          .shares()
+          .removeIdleLoans()
+          .forEach(
+              (lender, loans) ->
+                  lendingDuty.giveBack(lender, new SlotReturn(SlotKeeper.toWire(loans))));
+    }
   }
 
-  private void dispatch(Attempt attempt, ExecutorId executor) {
-    DispatchRequest request = attempt.request();
-    Duration left = Duration.ofNanos(request.deadlineNanos() - System.nanoTime());
+  private void dispatch(RequestScheduler<Attempt> scheduler, Placed<Attempt> placed) {
+    DispatchRequest request = placed.waiting().item().request();
+    long left = request.deadlineNanos() - System.nanoTime();
+    if (left <= 0 || !request.mayDispatch().getAsBoolean()) {
+      scheduler.notSent(placed, System.nanoTime());
+      refuse(request, ResultCode.DEADLINE_PASSED, RETRY_AFTER_MILLIS);
+      return;
+    }
     inFlight.incrementAndGet();
+    sent.add(placed);
+    String address = executors.get(placed.ticket().executor()).address();
     CompletableFuture<Void> unused =
         client
-            .execute(executor.address(), request.request(), left)
-            .thenAccept(result -> publishEnd(new Ended(attempt, executor, result)));
+            .execute(address, request.request(), Duration.ofNanos(left))
+            .thenAccept(result -> publish(new DispatchEvent.Ended(placed, result)));
   }
 
-  /** The end of a request must not be lost, so its publisher waits for room. */
-  private void publishEnd(Ended ended) {
-    while (!ring.offer(ended)) {
+  /** An event about slots in use must not be lost, so its publisher waits for room. */
+  private void publish(DispatchEvent event) {
+    while (!closed && !ring.offer(event)) {
       Thread.onSpinWait();
     }
   }
 
-  private void end(Ended ended) {
+  private void end(DispatchEvent.Ended ended, long now) {
     inFlight.decrementAndGet();
-    executors.release(ended.executor());
-    Attempt attempt = ended.attempt();
+    sent.remove(ended.placed());
+    Attempt attempt = ended.placed().waiting().item();
     DispatchRequest request = attempt.request();
+    RoutingPolicy.Ending ending = ending(ended.result());
+    boolean mayRepeat =
+        attempt.tries().mayFollow()
+            && (ending == RoutingPolicy.Ending.NOT_STARTED || request.idempotent());
+    RequestScheduler<Attempt> scheduler = service(request.request().service()).scheduler();
+    if (scheduler.ended(ended.placed(), ending, mayRepeat, now)) {
+      return;
+    }
     switch (ended.result()) {
       case ExecutorResult.Answered answered ->
           request.result().complete(new DispatchResult.Answered(answered));
-      case ExecutorResult.NotStarted ignored -> retry(attempt, ResultCode.UPSTREAM_REFUSED);
-      case ExecutorResult.Lost lost when request.idempotent() -> retryLost(attempt, lost.reason());
+      case ExecutorResult.NotStarted ignored ->
+          refuse(request, ResultCode.UPSTREAM_REFUSED, RETRY_AFTER_MILLIS);
       case ExecutorResult.Lost lost ->
           request.result().complete(new DispatchResult.Lost(lost.reason()));
     }
   }
 
-  private void retry(Attempt attempt, ResultCode lastCode) {
-    if (attempt.number() >= MAX_ATTEMPTS) {
-      refuse(attempt.request(), lastCode);
-    } else {
-      enqueue(new Attempt(attempt.request(), attempt.number() + 1));
-    }
+  private static RoutingPolicy.Ending ending(ExecutorResult result) {
+    return switch (result) {
+      case ExecutorResult.Answered answered -> RoutingPolicy.Ending.ANSWERED;
+      case ExecutorResult.NotStarted notStarted -> RoutingPolicy.Ending.NOT_STARTED;
+      case ExecutorResult.Lost lost -> RoutingPolicy.Ending.LOST;
+    };
   }
 
-  private void retryLost(Attempt attempt, String reason) {
-    if (attempt.number() >= MAX_ATTEMPTS || isTooLate(attempt.request())) {
-      attempt.request().result().complete(new DispatchResult.Lost(reason));
-    } else {
-      enqueue(new Attempt(attempt.request(), attempt.number() + 1));
-    }
+  private static void refuse(DispatchRequest request, ResultCode code, long retryAfterMillis) {
+    request.result().complete(new DispatchResult.NotRun(code, retryAfterMillis));
   }
 
-  private static void refuse(DispatchRequest request, ResultCode code) {
-    request.result().complete(new DispatchResult.NotRun(code, RETRY_AFTER_MILLIS));
+  /**
+   * Tells whether this entry has had slots since its start.
+   *
+   * @return whether it can serve requests; true also where the VM list names no executor
+   */
+  public boolean isReady() {
+    return ready;
   }
 
   /**
@@ -208,21 +361,27 @@
     return inFlight.get();
   }
 
+  /** Stops; what still waits was never sent, and what was sent may have run. */
   @Override
   public void close() {
     duty.close();
+    closed = true;
+    lendingDuty.close();
+    long end = System.nanoTime() + Long.MAX_VALUE / 2;
+    ring.drain(Integer.MAX_VALUE, this::refuseLate);
+    for (ServiceQueue service : services.values()) {
+      for (Waiting<Attempt> waiting : service.scheduler().removeExpired(end)) {
+        refuse(waiting.item().request(), ResultCode.DEADLINE_PASSED, RETRY_AFTER_MILLIS);
+      }
+    }
+    for (Placed<Attempt> placed : sent) {
+      placed.waiting().item().request().result().complete(new DispatchResult.Lost("stopped"));
+    }
   }
 
-  /** What the dispatching thread is told. */
-  private sealed interface Event {}
-
-  /** A request arrived. */
-  private record Submitted(Attempt attempt) implements Event {}
-
-  /** An executor's result arrived. */
-  private record Ended(Attempt attempt, ExecutorId executor, ExecutorResult result)
-      implements Event {}
-
-  /** A request with the number of its try, from one. */
-  private record Attempt(DispatchRequest request, int number) {}
+  private void refuseLate(DispatchEvent event) {
+    if (event instanceof DispatchEvent.Submitted submitted) {
+      refuse(submitted.attempt().request(), ResultCode.OVERLOADED, RETRY_AFTER_MILLIS);
+    }
+  }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/peer/Membership.java
+++ b/entry/src/main/java/org/lavenderstage/entry/peer/Membership.java
@@ -1,32 +1,37 @@
 package org.lavenderstage.entry.peer;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.lavenderstage.core.membership.HeardMember;
 import org.lavenderstage.core.membership.Member;
 import org.lavenderstage.core.membership.MembershipView;
 import org.lavenderstage.entry.duty.Duty;
 import org.lavenderstage.entry.vm.VmDirectory;
-import org.lavenderstage.wire.event.EventLog;
-import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.platform.VmEntry;
 import org.lavenderstage.wire.platform.VmRole;
 
-/** Sends heartbeats to every entry of the VM list and keeps the view of who lives. */
+/**
+ * Keeps the view of who lives, and a feed of heartbeats to each entry that the VM list names or
+ * that was heard from.
+ */
 public final class Membership implements AutoCloseable {
   private static final int TIMEOUT_HEARTBEATS = 4;
-  private static final int LINK_TIMEOUT_MILLIS = 200;
 
   private final Supplier<Member> self;
   private final VmDirectory directory;
+  private final SlotBoard board;
   private final int heartbeatMillis;
   private final MembershipView view;
-  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
-  private long sequence;
+  private final Map<String, PeerFeed> feeds = new ConcurrentHashMap<>();
+  private final AtomicLong sequence = new AtomicLong();
   private Duty duty;
 
   /**
@@ -34,48 +39,53 @@
    *
    * @param self describes this entry as it is now
    * @param directory the platform's list of VMs
+   * @param board slot state that goes with each heartbeat
    * @param heartbeatMillis time between heartbeats in milliseconds
    */
-  public Membership(Supplier<Member> self, VmDirectory directory, int heartbeatMillis) {
+  public Membership(
+      Supplier<Member> self, VmDirectory directory, SlotBoard board, int heartbeatMillis) {
     this.self = self;
     this.directory = directory;
+    this.board = board;
     this.heartbeatMillis = heartbeatMillis;
     this.view = new MembershipView(self.get(), (long) heartbeatMillis * TIMEOUT_HEARTBEATS);
   }
 
   /** Starts to send. */
   public void start() {
-    duty = new Duty("heartbeat", this::sendAll);
+    duty = new Duty("membership", this::updateFeeds);
   }
 
-  private void sendAll() throws InterruptedException {
-    Member me = self.get();
-    sequence++;
-    Heartbeat heartbeat =
-        new Heartbeat(
-            me.entry(),
-            me.vm(),
-            me.domain(),
-            me.peerAddress(),
-            sequence,
-            me.sheetVersion(),
-            me.configOffset(),
-            me.configDigest(),
-            me.draining());
-    for (VmEntry vm : directory.vms(VmRole.ENTRY)) {
-      if (!vm.address().equals(me.peerAddress())) {
-        send(vm.address(), heartbeat);
+  private void updateFeeds() throws InterruptedException {
+    String own = self.get().peerAddress();
+    Set<String> wanted =
+        directory.vms(VmRole.ENTRY).stream().map(VmEntry::address).collect(Collectors.toSet());
+    live().forEach(member -> wanted.add(member.peerAddress()));
+    wanted.remove(own);
+    for (String address : wanted) {
+      feeds.computeIfAbsent(
+          address, key -> new PeerFeed(key, this::heartbeat, board, heartbeatMillis));
+    }
+    for (String address : Set.copyOf(feeds.keySet())) {
+      if (!wanted.contains(address)) {
+        feeds.remove(address).close();
       }
     }
     TimeUnit.MILLISECONDS.sleep(heartbeatMillis);
   }
 
-  private void send(String address, Heartbeat heartbeat) {
-    try {
-      links.computeIfAbsent(address, key -> new PeerLink(key, LINK_TIMEOUT_MILLIS)).send(heartbeat);
-    } catch (IOException e) {
-      EventLog.info(LogEvent.PEER_FAILED, "peer", address, "cause", e.getMessage());
-    }
+  private Heartbeat heartbeat() {
+    Member me = self.get();
+    return new Heartbeat(
+        me.entry(),
+        me.vm(),
+        me.domain(),
+        me.peerAddress(),
+        sequence.incrementAndGet(),
+        me.sheetVersion(),
+        me.configOffset(),
+        me.configDigest(),
+        me.draining());
   }
 
   /**
@@ -106,6 +116,28 @@
     return view.live(nowMillis());
   }
 
+  /**
+   * Lists the peers with the time since their last heartbeat, silent ones among them.
+   *
+   * @return the peers that were heard from in the last minutes
+   */
+  public synchronized List<HeardMember> heardMembers() {
+    return view.heardMembers(nowMillis());
+  }
+
+  /**
+   * Finds where a peer listens.
+   *
+   * @param vm VM of the peer
+   * @return host and port of its peer link, empty where it is not live
+   */
+  public Optional<String> peerAddress(String vm) {
+    return live().stream()
+        .filter(member -> member.vm().equals(vm))
+        .map(Member::peerAddress)
+        .findFirst();
+  }
+
   private static long nowMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
@@ -115,6 +147,6 @@
     if (duty != null) {
       duty.close();
     }
-    links.values().forEach(PeerLink::close);
+    feeds.values().parallelStream().forEach(PeerFeed::close);
   }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
@@ -17,6 +17,7 @@
 import org.lavenderstage.core.outcome.ResultCode;
 import org.lavenderstage.core.sheet.ServiceRow;
 import org.lavenderstage.core.sheet.Sheet;
+import org.lavenderstage.core.sheet.WorkspaceRow;
 import org.lavenderstage.entry.config.Configuration;
 import org.lavenderstage.entry.dispatch.DispatchRequest;
 import org.lavenderstage.entry.dispatch.DispatchResult;
@@ -183,9 +184,16 @@
   private CompletableFuture<DispatchResult> dispatch(
       ExecutorRequest sent, ServiceRow row, long deadlineNanos, BooleanSupplier mayDispatch) {
     CompletableFuture<DispatchResult> result = new CompletableFuture<>();
+    Optional<WorkspaceRow> workspace = configuration.inForce().sheet().workspace(sent.workspace());
     dispatcher.submit(
         new DispatchRequest(
-            sent, row.rank(), row.idempotent(), deadlineNanos, mayDispatch, result));
+            sent,
+            workspace.map(WorkspaceRow::rank).orElse(row.rank()),
+            workspace.map(WorkspaceRow::share).orElse(1),
+            row.idempotent(),
+            deadlineNanos,
+            mayDispatch,
+            result));
     return result;
   }
 
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -37,7 +37,11 @@
   /** A duty failed and goes on. */
   DUTY_FAILED(5002),
   /** The VM list cannot be read. */
-  VM_LIST_FAILED(5003);
+  VM_LIST_FAILED(5003),
+  /** A peer link that failed works again. */
+  PEER_RECOVERED(5100),
+  /** The dispatching thread stood still and checks its slots anew. */
+  DISPATCH_FROZEN(5101);
 
   private final int number;
 
