--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/request/FakeEntry.java
@@ -0,0 +1,189 @@
+package org.lavenderstage.bench.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.lavenderstage.bench.policy.EventLoop;
+import org.lavenderstage.core.admission.AdmissionControl;
+import org.lavenderstage.core.admission.AdmissionDecision;
+import org.lavenderstage.core.admission.Placed;
+import org.lavenderstage.core.admission.RequestScheduler;
+import org.lavenderstage.core.admission.Waiting;
+import org.lavenderstage.core.routing.LeastOfTwoPolicy;
+import org.lavenderstage.core.routing.RandomPolicy;
+import org.lavenderstage.core.routing.RoundRobinPolicy;
+import org.lavenderstage.core.routing.RoutingPolicy;
+import org.lavenderstage.core.routing.SharedSlotsPolicy;
+import org.lavenderstage.core.routing.SlotAnnouncement;
+import org.lavenderstage.core.routing.SlotCount;
+import org.lavenderstage.core.routing.SlotLending;
+import org.lavenderstage.core.routing.SlotLoan;
+import org.lavenderstage.core.routing.SlotShares;
+import org.lavenderstage.core.routing.SlotTiming;
+
+/** One entry in virtual time around the core's scheduler, as the dispatcher is in real time. */
+final class FakeEntry {
+  static final int SLOTS = 8;
+  private static final long MILLIS = 1_000_000;
+  private static final SlotTiming TIMING =
+      new SlotTiming(15_000 * MILLIS, 10_000 * MILLIS, 8_750 * MILLIS, 500 * MILLIS);
+  private static final int QUEUE_CAPACITY = 4096;
+  private static final int MAX_TRIES = 3;
+  private static final long STEP_NANOS = 100 * MILLIS;
+  private static final long ANNOUNCE_NANOS = 500 * MILLIS;
+
+  private final Deployment deployment;
+  private final EventLoop loop;
+  private final String vm;
+  private final SlotShares shares;
+  private final SlotLending lending;
+  private final RoutingPolicy policy;
+  private final RequestScheduler<Call> scheduler;
+
+  FakeEntry(Deployment deployment, int index, PolicyKind kind, UniformRandomProvider random) {
+    this.deployment = deployment;
+    this.loop = deployment.loop();
+    this.vm = Deployment.entryName(index);
+    this.shares = new SlotShares(vm, vm + "-1", SLOTS, TIMING, 0);
+    this.lending = new SlotLending(random::nextInt);
+    this.policy =
+        switch (kind) {
+          case RANDOM -> new RandomPolicy(random::nextInt);
+          case ROUND_ROBIN -> new RoundRobinPolicy(index);
+          case LEAST_OF_TWO -> new LeastOfTwoPolicy(random::nextInt);
+          case SHARED -> new SharedSlotsPolicy(shares, ArrivalPlan.TIMEOUT_NANOS);
+          case CENTRAL -> throw new IllegalArgumentException("the central queue has no entries");
+        };
+    this.scheduler =
+        new RequestScheduler<>(policy, new AdmissionControl<>(QUEUE_CAPACITY, QUEUE_CAPACITY));
+  }
+
+  String vm() {
+    return vm;
+  }
+
+  RequestScheduler<Call> scheduler() {
+    return scheduler;
+  }
+
+  void start(long offsetNanos) {
+    loop.schedule(offsetNanos, this::step);
+    loop.schedule(offsetNanos, this::announce);
+  }
+
+  private void step() {
+    long now = loop.nowNanos();
+    List<String> usable = deployment.listedExecutors();
+    shares.list(deployment.entryNames(), usable, now);
+    policy.replace(usable);
+    shares.step(now);
+    pump();
+    loop.schedule(STEP_NANOS, this::step);
+  }
+
+  private void announce() {
+    SlotAnnouncement said = shares.announce(loop.nowNanos());
+    int free = shares.freeOwn(loop.nowNanos());
+    for (FakeEntry peer : deployment.entries()) {
+      if (peer != this) {
+        deployment.hop(() -> peer.heard(said, free));
+      }
+    }
+    loop.schedule(ANNOUNCE_NANOS, this::announce);
+  }
+
+  private void heard(SlotAnnouncement said, int free) {
+    shares.heard(said, false, loop.nowNanos());
+    lending.peerFree(said.vm(), free);
+  }
+
+  void submit(Call call) {
+    Waiting<Call> waiting =
+        new Waiting<>(
+            call,
+            call.arrival.rank(),
+            call.arrival.workspace(),
+            1,
+            call.deadlineNanos(),
+            call.returning);
+    long now = loop.nowNanos();
+    switch (scheduler.submit(waiting, now)) {
+      case AdmissionDecision.Admitted admitted -> pump();
+      case AdmissionDecision.Refused refused ->
+          deployment.log().refused(call, now, refused.retryAfterNanos());
+    }
+  }
+
+  private void pump() {
+    long now = loop.nowNanos();
+    for (Waiting<Call> expired : scheduler.removeExpired(now)) {
+      deployment.log().refused(expired.item(), now, -1);
+    }
+    Optional<Placed<Call>> next = scheduler.next(now);
+    while (next.isPresent()) {
+      send(next.get());
+      next = scheduler.next(now);
+    }
+    if (policy instanceof SharedSlotsPolicy) {
+      balance(now);
+    }
+  }
+
+  private void send(Placed<Call> placed) {
+    Call call = placed.waiting().item();
+    call.attempts++;
+    deployment.log().sent(this, call);
+    FakeExecutor executor = deployment.executor(placed.ticket().executor());
+    deployment.hop(
+        () ->
+            executor.accept(
+                call.arrival.sizeNanos(), ending -> deployment.hop(() -> ended(placed, ending))));
+  }
+
+  private void ended(Placed<Call> placed, RoutingPolicy.Ending ending) {
+    Call call = placed.waiting().item();
+    long now = loop.nowNanos();
+    boolean again = scheduler.ended(placed, ending, call.attempts < MAX_TRIES, now);
+    if (ending == RoutingPolicy.Ending.ANSWERED) {
+      deployment.log().answered(call, now);
+    } else if (!again) {
+      deployment.log().refused(call, now, -1);
+    }
+    pump();
+  }
+
+  private void balance(long now) {
+    int waiting = scheduler.size();
+    SlotCount count = scheduler.slots(now);
+    lending
+        .ask(waiting, count, now)
+        .ifPresent(ask -> deployment.hop(() -> deployment.entry(ask.vm()).lend(this, ask, now)));
+    if (SlotLending.hasTooMany(waiting, count)) {
+      shares
+          .removeIdleLoans()
+          .forEach(
+              (lender, loans) -> deployment.hop(() -> deployment.entry(lender).takeBack(loans)));
+    }
+  }
+
+  private void lend(FakeEntry borrower, SlotLending.Ask ask, long askedAt) {
+    long now = loop.nowNanos();
+    int most = Math.min(ask.most(), SlotLending.lendable(scheduler.size(), scheduler.slots(now)));
+    SharedSlotsPolicy mine = (SharedSlotsPolicy) policy;
+    List<SlotLoan> lent = shares.lend(most, id -> mine.isUsable(id, now), now);
+    int free = shares.freeOwn(now);
+    deployment.hop(() -> borrower.granted(vm, new ArrayList<>(lent), free, askedAt));
+  }
+
+  private void granted(String lender, List<SlotLoan> loans, int free, long askedAt) {
+    lending.answered(lender, free);
+    shares.borrow(lender, loans, askedAt);
+    pump();
+  }
+
+  private void takeBack(List<SlotLoan> loans) {
+    shares.takeBack(loans, loop.nowNanos());
+    pump();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/request/LatencyLog.java
@@ -0,0 +1,57 @@
+package org.lavenderstage.bench.request;
+
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+
+/** Gathers the latencies of the calls that one condition chooses, by the time of their arrival. */
+class LatencyLog implements CallLog {
+  private static final long MAX_MICROS = 600_000_000;
+  private static final int DIGITS = 3;
+  private static final long CLIENT_MICROS = 6_000;
+  private static final double PERCENTILE = 99;
+  private static final double MICROS_PER_MILLI = 1000;
+
+  private final Histogram histogram = new Histogram(MAX_MICROS, DIGITS);
+  private final Predicate<Call> chosen;
+  private long refused;
+
+  LatencyLog(Predicate<Call> chosen) {
+    this.chosen = chosen;
+  }
+
+  /** Chooses the calls that arrive in an interval. */
+  static LatencyLog between(long fromNanos, long untilNanos) {
+    return new LatencyLog(call -> call.atNanos >= fromNanos && call.atNanos < untilNanos);
+  }
+
+  @Override
+  public void answered(Call call, long nowNanos) {
+    if (chosen.test(call)) {
+      histogram.recordValue(Math.min(MAX_MICROS, micros(call, nowNanos)));
+    }
+  }
+
+  private static long micros(Call call, long nowNanos) {
+    return (nowNanos - call.atNanos) / 1000 + CLIENT_MICROS;
+  }
+
+  @Override
+  public void refused(Call call, long nowNanos, long retryAfterNanos) {
+    if (chosen.test(call)) {
+      refused++;
+    }
+  }
+
+  /** The 99th percentile in milliseconds. */
+  double p99Millis() {
+    return histogram.getValueAtPercentile(PERCENTILE) / MICROS_PER_MILLI;
+  }
+
+  long answered() {
+    return histogram.getTotalCount();
+  }
+
+  long refused() {
+    return refused;
+  }
+}
--- a/bench/src/main/java/org/lavenderstage/bench/request/RequestScenarios.java
+++ b/bench/src/main/java/org/lavenderstage/bench/request/RequestScenarios.java
@@ -13,6 +13,10 @@
    * @return the cases in the order of their numbers
    */
   public static List<Scenario> all() {
-    return List.of();
+    return List.of(
+        new SkewedLoadScenario(),
+        new FaultyExecutorsScenario(),
+        new OverloadScenario(),
+        new OrderScenario());
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
@@ -128,6 +128,16 @@
     times.add(nanos);
   }
 
+  /**
+   * Counts the requests of higher ranks that wait.
+   *
+   * @param rank the rank
+   * @return the count
+   */
+  public int waitingAbove(int rank) {
+    return queue.waitingAbove(rank);
+  }
+
   /**
    * Counts the requests that wait.
    *
--- a/core/src/main/java/org/lavenderstage/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/AdmissionQueue.java
@@ -132,6 +132,20 @@
     return ahead;
   }
 
+  /**
+   * Counts the requests of higher ranks that wait.
+   *
+   * @param rank the rank
+   * @return the count
+   */
+  public int waitingAbove(int rank) {
+    int waiting = 0;
+    for (RankQueue<T> higher : ranks.headMap(rank).values()) {
+      waiting += higher.size();
+    }
+    return waiting;
+  }
+
   /**
    * Returns the part of its rank's capacity that a workspace gets while those that wait go on.
    *
--- a/core/src/main/java/org/lavenderstage/core/admission/RequestScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/RequestScheduler.java
@@ -118,6 +118,16 @@
     return admission.removeExpired(now);
   }
 
+  /**
+   * Counts the requests of higher ranks that wait.
+   *
+   * @param rank the rank
+   * @return the count
+   */
+  public int waitingAbove(int rank) {
+    return admission.waitingAbove(rank);
+  }
+
   /**
    * Counts the requests that wait.
    *
