--- a/bench/src/main/java/org/lavenderstage/bench/request/LatencyLog.java
+++ b/bench/src/main/java/org/lavenderstage/bench/request/LatencyLog.java
@@ -42,8 +42,11 @@
     }
   }
 
-  /** The 99th percentile in milliseconds. */
+  /** The 99th percentile in milliseconds; the longest time where no call was answered. */
   double p99Millis() {
+    if (histogram.getTotalCount() == 0) {
+      return MAX_MICROS / MICROS_PER_MILLI;
+    }
     return histogram.getValueAtPercentile(PERCENTILE) / MICROS_PER_MILLI;
   }
 
--- a/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
@@ -16,7 +16,7 @@
   private static final long MIN_RETRY_NANOS = 200_000_000;
   private static final long BOOKED_WINDOW_NANOS = 200_000_000;
   private static final int BOOKS_KEPT = 1024;
-  private static final double WAIT_PART = 0.5;
+  private static final double WAIT_PART = 0.1;
 
   private final AdmissionQueue<T> queue;
   private final ServiceTimes times = new ServiceTimes();
--- a/core/src/main/java/org/lavenderstage/core/admission/ReturnBook.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/ReturnBook.java
@@ -8,7 +8,7 @@
  * one after the other at a part of the capacity, so that they find room when they come.
  */
 final class ReturnBook {
-  private static final double BOOKED_PART = 0.3;
+  private static final double BOOKED_PART = 0.2;
   private static final long GRACE_NANOS = 300_000_000;
 
   private final Deque<Long> due = new ArrayDeque<>();
--- a/core/src/main/java/org/lavenderstage/core/routing/ExecutorSlots.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/ExecutorSlots.java
@@ -106,6 +106,10 @@
     return Optional.empty();
   }
 
+  boolean hasFreeLoan(long now, long neededNanos) {
+    return !borrowed.isEmpty() && freeBorrowed(now, neededNanos).isPresent();
+  }
+
   int freeLoans() {
     int count = 0;
     for (Borrowed loan : borrowed) {
--- a/core/src/main/java/org/lavenderstage/core/routing/SharedSlotsPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/SharedSlotsPolicy.java
@@ -20,7 +20,7 @@
   private final SlotShares shares;
   private final long lostRestNanos;
   private final Map<String, ExecutorHealth> health = new HashMap<>();
-  private List<String> executors = List.of();
+  private Candidate[] candidates = {};
   private int turn;
   private boolean reviewed;
   private long reviewedAt;
@@ -40,39 +40,45 @@
 
   @Override
   public void replace(List<String> usable) {
-    executors = List.copyOf(usable);
-    health.keySet().retainAll(executors);
-    executors.forEach(executor -> health.computeIfAbsent(executor, id -> new ExecutorHealth()));
+    health.keySet().retainAll(usable);
+    candidates = new Candidate[usable.size()];
+    for (int i = 0; i < candidates.length; i++) {
+      String executor = usable.get(i);
+      ExecutorHealth one = health.computeIfAbsent(executor, id -> new ExecutorHealth());
+      candidates[i] = new Candidate(executor, one, shares.slots(executor, 0));
+    }
   }
 
   @Override
   public Optional<SlotTicket> choose(long neededNanos, long now) {
     review(now);
-    String best = null;
-    double bestLog = 0;
-    int count = executors.size();
-    for (int i = 0; i < count; i++) {
-      String executor = executors.get((turn + i) % count);
-      ExecutorHealth one = health.get(executor);
-      if (one.allows(now) && shares.isFree(executor, neededNanos, now)) {
-        if (isSlow(one)) {
-          if (one.isProbeDue(now, PROBE_INTERVAL_NANOS)) {
-            return take(executor, neededNanos, now);
-          }
-        } else if (best == null || one.logLatency() < bestLog - BAND_LOG_FACTOR) {
-          best = executor;
-          bestLog = one.logLatency();
+    int limit = shares.connectionLimit();
+    Candidate best = null;
+    for (int i = 0; i < candidates.length; i++) {
+      Candidate one = candidates[(turn + i) % candidates.length];
+      if (!one.hasFree(neededNanos, limit, now) || !one.health.allows(now)) {
+        continue;
+      }
+      if (isSlow(one.health)) {
+        if (one.health.isProbeDue(now, PROBE_INTERVAL_NANOS)) {
+          return take(one, neededNanos, now);
         }
+      } else if (best == null
+          || one.health.logLatency() < best.health.logLatency() - BAND_LOG_FACTOR) {
+        best = one;
       }
     }
-    turn = count == 0 ? 0 : (turn + 1) % count;
-    return best == null ? Optional.empty() : take(best, neededNanos, now);
+    if (best == null) {
+      return Optional.empty();
+    }
+    turn = (turn + 1) % candidates.length;
+    return take(best, neededNanos, now);
   }
 
-  private Optional<SlotTicket> take(String executor, long neededNanos, long now) {
-    Optional<SlotTicket> ticket = shares.take(executor, neededNanos, now);
+  private Optional<SlotTicket> take(Candidate candidate, long neededNanos, long now) {
+    Optional<SlotTicket> ticket = shares.take(candidate.executor, neededNanos, now);
     if (ticket.isPresent()) {
-      health.get(executor).sent(now);
+      candidate.health.sent(now);
     }
     return ticket;
   }
@@ -137,10 +143,20 @@
   public SlotCount count(long now) {
     int free = 0;
     int busy = 0;
-    for (String executor : executors) {
-      busy += shares.busy(executor);
-      free += isUsable(executor, now) ? shares.freeAll(executor, now) : 0;
+    for (Candidate one : candidates) {
+      busy += one.slots.busyCount();
+      if (one.health.allows(now) && !isSlow(one.health)) {
+        free += one.slots.freeCount(now) + one.slots.freeLoans();
+      }
     }
     return new SlotCount(free, busy);
   }
+
+  /** One executor with all that the choice looks at. */
+  private record Candidate(String executor, ExecutorHealth health, ExecutorSlots slots) {
+    boolean hasFree(long neededNanos, int limit, long now) {
+      return (slots.freeSlot(now) >= 0 || slots.hasFreeLoan(now, neededNanos))
+          && slots.busyCount() < limit;
+    }
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
@@ -21,6 +21,7 @@
  * messages are; see docs/design/slots.md for the proof and its assumptions.
  */
 public final class SlotShares {
+  private static final int CONNECTIONS_PER_EXECUTOR = 64;
   private static final int LOAN_ID_BITS = 32;
   private static final int LOAN_MARGIN_DIVISOR = 16;
 
@@ -253,31 +254,14 @@
             new SlotTicket(executor, borrowed.loan.slot(), borrowed.lender, borrowed.loan.id()));
   }
 
-  /**
-   * Tells whether a slot of an executor could be taken.
-   *
-   * @param executor identifier of the executor
-   * @param neededNanos longest time for which the slot is needed in nanoseconds
-   * @param now monotonic time in nanoseconds
-   * @return whether there is one
-   */
-  public boolean isFree(String executor, long neededNanos, long now) {
-    ExecutorSlots slots = executors.get(executor);
-    return slots != null
-        && listed.contains(executor)
-        && (slots.freeSlot(now) >= 0 || slots.freeBorrowed(now, neededNanos).isPresent());
+  /** Returns the slots of an executor; they stay the same object while the executor is listed. */
+  ExecutorSlots slots(String executor, long now) {
+    return executors.computeIfAbsent(executor, id -> newExecutor(id, now));
   }
 
-  /**
-   * Counts the slots of an executor that could be taken, borrowed ones among them.
-   *
-   * @param executor identifier of the executor
-   * @param now monotonic time in nanoseconds
-   * @return the count
-   */
-  public int freeAll(String executor, long now) {
-    ExecutorSlots slots = executors.get(executor);
-    return slots == null ? 0 : slots.freeCount(now) + slots.freeLoans();
+  /** Counts the requests that one entry may have on one executor, so that connections suffice. */
+  int connectionLimit() {
+    return Math.max(1, CONNECTIONS_PER_EXECUTOR / Math.max(1, vms.size()));
   }
 
   /**
