Prove slots, order, drain and heartbeats; be ready only when all own slots may be used

It is ready now once the list was read and every peer agreed to its set. The first service times weigh less against the first guess, so that one slow first answer refuses nobody.

--- a/core/src/main/java/org/lavenderstage/core/admission/ServiceTimes.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/ServiceTimes.java
@@ -5,6 +5,7 @@
   private static final double WEIGHT = 1.0 / 256;
   private static final long FIRST_GUESS_NANOS = 20_000_000;
   private static final int WARM_UP = 256;
+  private static final int GUESS_WEIGHT = 16;
 
   private double mean = FIRST_GUESS_NANOS;
   private long samples;
@@ -19,7 +20,7 @@
    */
   public void add(long nanos) {
     samples++;
-    double weight = samples < WARM_UP ? 1.0 / samples : WEIGHT;
+    double weight = samples < WARM_UP ? 1.0 / (samples + GUESS_WEIGHT) : WEIGHT;
     mean += (nanos - mean) * weight;
   }
 
--- a/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotShares.java
@@ -388,6 +388,15 @@
     return count;
   }
 
+  /**
+   * Tells whether every slot that belongs to this entry may be used.
+   *
+   * @return false while peers have not agreed to the set
+   */
+  public boolean isSettled() {
+    return settled;
+  }
+
   /**
    * Counts this entry's requests on an executor.
    *
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/admission/RequestSchedulerFuzzTest.java
@@ -0,0 +1,149 @@
+package org.lavenderstage.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.routing.RoutingPolicy.Ending;
+import org.lavenderstage.core.routing.SharedSlotsPolicy;
+import org.lavenderstage.core.routing.SlotShares;
+import org.lavenderstage.core.routing.SlotTiming;
+
+/** A drain answers every request once, and work that may have run is not sent again. */
+class RequestSchedulerFuzzTest {
+  private static final long MILLIS = 1_000_000;
+  private static final int STEPS = 300;
+  private static final int MAX_TRIES = 3;
+  private static final List<Ending> ENDINGS =
+      List.of(Ending.ANSWERED, Ending.NOT_STARTED, Ending.LOST);
+
+  @Property(seed = "1", tries = 200)
+  void answersEachRequestOnceAndRepeatsOnlyWhatMayBeRepeated(@ForAll long seed) {
+    assertTrue(new Run(seed, false).isRight());
+  }
+
+  @Tag("fresh")
+  @Property(tries = 500)
+  void answersEachRequestOnceUnderFreshSeeds(@ForAll long seed) {
+    assertTrue(new Run(seed, false).isRight());
+  }
+
+  @Test
+  void catchesAShellThatRepeatsLostWork() {
+    boolean allRight = true;
+    for (int seed = 0; seed < 20; seed++) {
+      allRight &= new Run(seed, true).isRight();
+    }
+    assertFalse(allRight);
+  }
+
+  /** One sequence of arrivals, ends and expiries, then a drain. */
+  private static final class Run {
+    private final Random random;
+    private final boolean repeatsAll;
+    private final SlotShares shares =
+        new SlotShares(
+            "vm", "vm-1", 8, new SlotTiming(9_000 * MILLIS, 5_000 * MILLIS, MILLIS, 0), 0);
+    private final SharedSlotsPolicy policy = new SharedSlotsPolicy(shares, 200 * MILLIS);
+    private final RequestScheduler<Integer> scheduler =
+        new RequestScheduler<>(policy, new AdmissionControl<>(40, 20));
+    private final List<Placed<Integer>> sent = new ArrayList<>();
+    private final Map<Integer, Integer> answers = new HashMap<>();
+    private final Map<Integer, Integer> tries = new HashMap<>();
+    private final Set<Integer> mayHaveRun = new HashSet<>();
+    private boolean right = true;
+    private int count;
+    private long now;
+
+    Run(long seed, boolean repeatsAll) {
+      this.random = new Random(seed);
+      this.repeatsAll = repeatsAll;
+    }
+
+    boolean isRight() {
+      for (int i = 0; i < STEPS; i++) {
+        tick();
+        switch (random.nextInt(3)) {
+          case 0 -> arrive();
+          case 1 -> endOne();
+          default -> serve();
+        }
+      }
+      while (scheduler.size() + sent.size() > 0) {
+        tick();
+        serve();
+        endOne();
+      }
+      return right && answers.size() == count;
+    }
+
+    private void tick() {
+      now += random.nextInt(20) * MILLIS;
+      List<String> executors = List.of("x1", "x2");
+      shares.list(List.of("vm"), executors, now);
+      policy.replace(executors);
+      shares.step(now);
+      for (Waiting<Integer> expired : scheduler.removeExpired(now)) {
+        answer(expired.item());
+      }
+    }
+
+    private void arrive() {
+      int id = count++;
+      long deadline = now + (50 + random.nextInt(400)) * MILLIS;
+      Waiting<Integer> waiting =
+          new Waiting<>(id, 1 + id % 2, "w" + id % 3, 1, deadline, id % 5 == 0);
+      if (scheduler.submit(waiting, now) instanceof AdmissionDecision.Refused) {
+        answer(id);
+      }
+    }
+
+    private void serve() {
+      Optional<Placed<Integer>> next = scheduler.next(now);
+      while (next.isPresent()) {
+        int id = next.get().waiting().item();
+        right &= isIdempotent(id) || !mayHaveRun.contains(id);
+        tries.merge(id, 1, Integer::sum);
+        sent.add(next.get());
+        next = scheduler.next(now);
+      }
+    }
+
+    private static boolean isIdempotent(int id) {
+      return id % 2 == 0;
+    }
+
+    private void endOne() {
+      if (sent.isEmpty()) {
+        return;
+      }
+      Placed<Integer> placed = sent.remove(random.nextInt(sent.size()));
+      Ending ending = ENDINGS.get(random.nextInt(ENDINGS.size()));
+      int id = placed.waiting().item();
+      if (ending != Ending.NOT_STARTED) {
+        mayHaveRun.add(id);
+      }
+      boolean mayRepeat =
+          tries.get(id) < MAX_TRIES
+              && (ending == Ending.NOT_STARTED || isIdempotent(id) || repeatsAll);
+      if (!scheduler.ended(placed, ending, mayRepeat, now)) {
+        answer(id);
+      }
+    }
+
+    private void answer(int id) {
+      right &= answers.merge(id, 1, Integer::sum) == 1;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/routing/SharedSlotsPolicyTest.java
@@ -0,0 +1,123 @@
+package org.lavenderstage.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class SharedSlotsPolicyTest {
+  private static final long MILLIS = 1_000_000;
+  private static final long TICK = 100 * MILLIS;
+  private static final int STEPS = 200;
+  private static final int EXECUTORS = 5;
+  private static final SlotTiming TIMING =
+      new SlotTiming(10_000 * MILLIS, 5_000 * MILLIS, 3_000 * MILLIS, 0);
+
+  private final SlotShares shares = new SlotShares("vm", "vm-1", 8, TIMING, 0);
+  private final SharedSlotsPolicy policy = new SharedSlotsPolicy(shares, 0);
+  private long now;
+
+  private void use(List<String> executors) {
+    now += TICK;
+    shares.list(List.of("vm"), executors, now);
+    policy.replace(executors);
+    shares.step(now);
+    shares.step(now);
+  }
+
+  private SlotTicket choose() {
+    return policy.choose(0, now).orElseThrow();
+  }
+
+  @Property(seed = "1", tries = 50)
+  void sendsNothingToAnExecutorThatTheListNamesAsLeaving(@ForAll long seed) {
+    assertTrue(avoidsLeaving(seed, 1));
+  }
+
+  @Test
+  void catchesAnEntryThatReadsTheListTooSeldom() {
+    assertFalse(avoidsLeaving(1, 3));
+  }
+
+  /** Changes the list in each step; the entry reads it in each so many. */
+  private static boolean avoidsLeaving(long seed, int readEvery) {
+    Random random = new Random(seed);
+    SlotShares own = new SlotShares("vm", "vm-1", 8, TIMING, 0);
+    SharedSlotsPolicy routing = new SharedSlotsPolicy(own, 0);
+    boolean avoids = true;
+    for (int step = 0; step < STEPS; step++) {
+      long at = (step + 1) * TICK;
+      List<String> usable = new ArrayList<>();
+      for (int i = 0; i < EXECUTORS; i++) {
+        if (random.nextInt(3) > 0) {
+          usable.add("x" + i);
+        }
+      }
+      if (step % readEvery == 0) {
+        own.list(List.of("vm"), usable, at);
+        routing.replace(usable);
+      }
+      own.step(at);
+      own.step(at);
+      for (int i = 0; i < 4; i++) {
+        Optional<SlotTicket> ticket = routing.choose(0, at);
+        if (ticket.isPresent()) {
+          avoids &= usable.contains(ticket.get().executor());
+          routing.ended(ticket.get(), RoutingPolicy.Ending.ANSWERED, 1 + random.nextInt(9), at);
+        }
+      }
+    }
+    return avoids;
+  }
+
+  @Test
+  void staysAwayFromAnExecutorThatRefusesUntilAProbeIsAnswered() {
+    use(List.of("bad", "good"));
+    for (int i = 0; i < 20; i++) {
+      SlotTicket ticket = choose();
+      boolean bad = ticket.executor().equals("bad");
+      policy.ended(
+          ticket,
+          bad ? RoutingPolicy.Ending.NOT_STARTED : RoutingPolicy.Ending.ANSWERED,
+          MILLIS,
+          now);
+    }
+    assertEquals("good", choose().executor());
+    assertEquals("good", choose().executor());
+    now += 600 * MILLIS;
+    int probes = 0;
+    for (int i = 0; i < 6; i++) {
+      probes += choose().executor().equals("bad") ? 1 : 0;
+    }
+    assertEquals(1, probes);
+  }
+
+  @Test
+  void givesAnExecutorThatIsFiveTimesSlowerOnlyProbes() {
+    use(List.of("slow", "a", "b", "c", "d", "e"));
+    for (int i = 0; i < 300; i++) {
+      SlotTicket ticket = choose();
+      long took = ticket.executor().equals("slow") ? 50 * MILLIS : 10 * MILLIS;
+      policy.ended(ticket, RoutingPolicy.Ending.ANSWERED, took, now);
+    }
+    now += 200 * MILLIS;
+    policy.choose(0, now).ifPresent(ticket -> end(ticket));
+    for (int i = 0; i < 100; i++) {
+      SlotTicket ticket = choose();
+      assertNotEquals("slow", ticket.executor());
+      end(ticket);
+    }
+  }
+
+  private void end(SlotTicket ticket) {
+    policy.ended(ticket, RoutingPolicy.Ending.ANSWERED, 10 * MILLIS, now);
+  }
+}
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
@@ -140,6 +140,7 @@
       replaceExecutors();
     }
     keeper.step(now);
+    ready |= keeper.hasSlots();
     int taken = ring.drain(MAX_DRAIN, this::handle);
     services.values().forEach(this::serve);
     queued = services.values().stream().mapToInt(service -> service.scheduler().size()).sum();
@@ -147,7 +148,6 @@
       keeperDraining = true;
       keeper.drain();
     }
-    ready |= keeper.hasSlots();
     keeper.publish(System.nanoTime());
     if (taken == 0) {
       TimeUnit.MICROSECONDS.sleep(IDLE_MICROS);
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/SlotKeeper.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/SlotKeeper.java
@@ -41,6 +41,7 @@
   private long publishedNanos = System.nanoTime();
   private long publishedEpoch;
   private boolean urgent = true;
+  private boolean refreshed;
   private boolean draining;
 
   SlotKeeper(
@@ -80,13 +81,14 @@
     }
     urgent |= !leaving.equals(listedLeaving);
     listedLeaving = leaving;
+    refreshed = true;
     executors = List.copyOf(usable);
     shares.list(entries, usable.stream().map(VmEntry::id).toList(), now);
   }
 
-  /** Tells whether there are slots to use, or no executor at all. */
+  /** Tells whether all own slots may be used, or there is no executor at all. */
   boolean hasSlots() {
-    return directory.isKnown() && (executors.isEmpty() || shares.established() > 0);
+    return refreshed && (executors.isEmpty() || shares.isSettled());
   }
 
   void step(long now) {
--- /dev/null
+++ b/entry/src/test/java/org/lavenderstage/entry/dispatch/DispatchNode.java
@@ -0,0 +1,96 @@
+package org.lavenderstage.entry.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.lavenderstage.core.membership.Member;
+import org.lavenderstage.core.routing.SlotTiming;
+import org.lavenderstage.entry.peer.Membership;
+import org.lavenderstage.entry.peer.PeerServer;
+import org.lavenderstage.entry.peer.SlotBoard;
+import org.lavenderstage.entry.vm.VmDirectory;
+import org.lavenderstage.platform.ExecutorClient;
+import org.lavenderstage.platform.ExecutorRequest;
+import org.lavenderstage.wire.peer.Heartbeat;
+import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.platform.VmEntry;
+import org.lavenderstage.wire.platform.VmRole;
+
+/** A dispatcher with its links to the peers, without the rest of an entry. */
+final class DispatchNode implements AutoCloseable {
+  private static final int HEARTBEAT_MILLIS = 50;
+  private static final int RING_SIZE = 1024;
+
+  private final String vm;
+  private final AtomicReference<Dispatcher> dispatcher = new AtomicReference<>();
+  private final VmDirectory directory;
+  private final PeerServer server;
+  private final Membership membership;
+
+  DispatchNode(String vm, AtomicReference<List<VmEntry>> list, ExecutorClient client) {
+    this.vm = vm;
+    String incarnation = vm + "-" + UUID.randomUUID();
+    directory = new VmDirectory(list::get, HEARTBEAT_MILLIS);
+    server = new PeerServer("127.0.0.1", 0, this::handle);
+    SlotBoard board = new SlotBoard();
+    Member self = new Member(incarnation, vm, "d", "127.0.0.1:" + server.port(), 0, 0, "", false);
+    membership = new Membership(() -> self, directory, board, HEARTBEAT_MILLIS);
+    SlotTiming timing =
+        new SlotTiming(
+            Duration.ofSeconds(60).toNanos(),
+            Duration.ofSeconds(40).toNanos(),
+            Duration.ofSeconds(40).toNanos(),
+            Duration.ofMillis(HEARTBEAT_MILLIS).toNanos());
+    DispatchParts parts =
+        new DispatchParts(
+            vm,
+            incarnation,
+            directory,
+            board,
+            membership::peerAddress,
+            timing,
+            Duration.ofSeconds(1).toNanos());
+    dispatcher.set(new Dispatcher(client, parts, RING_SIZE));
+  }
+
+  void start() {
+    directory.start();
+    membership.start();
+  }
+
+  private Optional<PeerMessage> handle(PeerMessage message) {
+    if (message instanceof Heartbeat heartbeat) {
+      membership.heard(heartbeat);
+    }
+    return dispatcher.get().handlePeer(message);
+  }
+
+  VmEntry vmEntry() {
+    String address = "127.0.0.1:" + server.port();
+    return new VmEntry(vm, address, "d", "r", VmRole.ENTRY, false, 0, 0, 0, "");
+  }
+
+  boolean isReady() {
+    return dispatcher.get().isReady();
+  }
+
+  CompletableFuture<DispatchResult> submit(int number) {
+    ExecutorRequest request =
+        new ExecutorRequest("id" + number, "w" + number % 3, "s", "", "text/plain", new byte[1]);
+    CompletableFuture<DispatchResult> result = new CompletableFuture<>();
+    long deadline = System.nanoTime() + Duration.ofSeconds(30).toNanos();
+    dispatcher.get().submit(new DispatchRequest(request, 1, 1, true, deadline, () -> true, result));
+    return result;
+  }
+
+  @Override
+  public void close() {
+    membership.close();
+    directory.close();
+    dispatcher.get().close();
+    server.close();
+  }
+}
