--- a/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/claim/ClaimLedger.java
@@ -152,9 +152,10 @@
   public ClaimsState snapshot() {
     return new ClaimsState(
         foldMillis,
-        new TreeMap<>(claims).entrySet().stream()
-            .map(entry -> new ClaimsState.KeyedClaim(entry.getKey(), entry.getValue()))
-            .toList());
+        new TreeMap<>(claims)
+            .entrySet().stream()
+                .map(entry -> new ClaimsState.KeyedClaim(entry.getKey(), entry.getValue()))
+                .toList());
   }
 
   @Override
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -19,11 +19,13 @@
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
 import org.lavenderstage.core.ledger.claim.ClaimWindow;
 import org.lavenderstage.core.membership.Member;
+import org.lavenderstage.core.routing.SlotTiming;
 import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.entry.admin.AdminServer;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.dispatch.DispatchParts;
 import org.lavenderstage.entry.dispatch.Dispatcher;
 import org.lavenderstage.entry.log.AppendBudget;
 import org.lavenderstage.entry.log.SnapshotWriter;
@@ -32,6 +34,7 @@
 import org.lavenderstage.entry.peer.Membership;
 import org.lavenderstage.entry.peer.PeerRecovery;
 import org.lavenderstage.entry.peer.PeerServer;
+import org.lavenderstage.entry.peer.SlotBoard;
 import org.lavenderstage.entry.request.CallerErrorHandler;
 import org.lavenderstage.entry.request.ClaimDesk;
 import org.lavenderstage.entry.request.RequestService;
@@ -109,7 +112,8 @@
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
     configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
     configuration = new Configuration(configReplica);
-    membership = new Membership(this::self, directory, settings.heartbeatMillis());
+    SlotBoard board = new SlotBoard();
+    membership = new Membership(this::self, directory, board, settings.heartbeatMillis());
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     appender(configReplica, log, budget);
@@ -117,7 +121,7 @@
         new ClaimWindow(
             settings.claimWindowMillis(), settings.claimAheadMillis(), settings.clockSkewMillis());
     claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger(claimWindow, settings.claimLimit()));
-    dispatcher = new Dispatcher(clients.executors(), directory, settings.ringSize());
+    dispatcher = new Dispatcher(clients.executors(), dispatchParts(board), settings.ringSize());
     claims =
         new ClaimDesk(
             name,
@@ -158,6 +162,16 @@
         LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
   }
 
+  private DispatchParts dispatchParts(SlotBoard board) {
+    long longest = TimeUnit.MILLISECONDS.toNanos(settings.longestRequestMillis());
+    long handover = TimeUnit.MILLISECONDS.toNanos(settings.slotHandoverMillis());
+    long startRest = TimeUnit.MILLISECONDS.toNanos(settings.heartbeatMillis());
+    SlotTiming timing =
+        new SlotTiming(handover, handover - longest, longest + handover / 4, startRest);
+    return new DispatchParts(
+        settings.vm(), name, directory, board, membership::peerAddress, timing, longest);
+  }
+
   private <F extends Fold> StreamReplica<F> replica(String stream, Log log, F fold) {
     StreamReplica<F> replica = new StreamReplica<>(stream, log, fold);
     replicas.add(replica);
@@ -274,7 +288,7 @@
       }
       case SnapshotQuery query -> Optional.of(recovery.answer(query));
       case AnswerQuery query -> Optional.of(claims.answer(query));
-      default -> Optional.empty();
+      default -> dispatcher.handlePeer(message);
     };
   }
 
@@ -291,6 +305,7 @@
   public boolean isReady() {
     return !draining
         && directory.isKnown()
+        && dispatcher.isReady()
         && replicas.stream().allMatch(StreamReplica::isCaughtUp);
   }
 
@@ -353,6 +368,7 @@
   @Override
   public void close() {
     draining = true;
+    dispatcher.drain();
     EventLog.info(LogEvent.ENTRY_DRAINING, "entry", name);
     owners.forEach(CellOwner::drain);
     awaitIdle();
--- a/entry/src/main/java/org/lavenderstage/entry/request/ClaimDesk.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/ClaimDesk.java
@@ -226,6 +226,7 @@
         new DispatchRequest(
             work.request(),
             work.rank(),
+            work.share(),
             false,
             leader.deadlineNanos(),
             () -> mayDispatch(dispatch),
--- a/entry/src/main/java/org/lavenderstage/entry/request/ClaimedWork.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/ClaimedWork.java
@@ -6,6 +6,7 @@
  * What is sent once a claim is won.
  *
  * @param request the request
- * @param rank rank of the service; a lower number is served first
+ * @param rank rank of the workspace; a lower number is served first
+ * @param share weight of the workspace among those of its rank
  */
-public record ClaimedWork(ExecutorRequest request, int rank) {}
+public record ClaimedWork(ExecutorRequest request, int rank, int share) {}
--- a/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
@@ -20,6 +20,7 @@
 import org.lavenderstage.core.outcome.ResultCode;
 import org.lavenderstage.core.sheet.ServiceRow;
 import org.lavenderstage.core.sheet.Sheet;
+import org.lavenderstage.core.sheet.WorkspaceRow;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.config.Configuration;
 import org.lavenderstage.entry.dispatch.DispatchRequest;
@@ -171,15 +172,28 @@
             new RequestKey(workspace, key.get()),
             arrivedNanos,
             deadlineNanos,
-            new ClaimedWork(sent, row.rank()))
+            new ClaimedWork(sent, rank(sent, row), share(sent)))
         .thenApply(CallerAnswer::of);
   }
 
+  private int rank(ExecutorRequest sent, ServiceRow row) {
+    return workspace(sent).map(WorkspaceRow::rank).orElse(row.rank());
+  }
+
+  private int share(ExecutorRequest sent) {
+    return workspace(sent).map(WorkspaceRow::share).orElse(1);
+  }
+
+  private Optional<WorkspaceRow> workspace(ExecutorRequest sent) {
+    return configuration.inForce().sheet().workspace(sent.workspace());
+  }
+
   private CompletableFuture<DispatchResult> dispatch(
       ExecutorRequest sent, ServiceRow row, long deadlineNanos) {
     CompletableFuture<DispatchResult> result = new CompletableFuture<>();
     dispatcher.submit(
-        new DispatchRequest(sent, row.rank(), true, deadlineNanos, () -> true, result));
+        new DispatchRequest(
+            sent, rank(sent, row), share(sent), true, deadlineNanos, () -> true, result));
     return result;
   }
 
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -48,6 +48,10 @@
   DUTY_FAILED(5002),
   /** The VM list cannot be read. */
   VM_LIST_FAILED(5003),
+  /** A peer link that failed works again. */
+  PEER_RECOVERED(5100),
+  /** The dispatching thread stood still and checks its slots anew. */
+  DISPATCH_FROZEN(5101),
   /** The owner of a claim gave no answer over the peer link. */
   OWNER_UNREACHABLE(6001);
 
--- a/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
@@ -2,4 +2,12 @@
 
 /** A message between two entries. */
 public sealed interface PeerMessage
-    permits AnswerQuery, AnswerReply, Heartbeat, SnapshotQuery, SnapshotReply {}
+    permits AnswerQuery,
+        AnswerReply,
+        Heartbeat,
+        SlotAsk,
+        SlotGrant,
+        SlotReturn,
+        SlotState,
+        SnapshotQuery,
+        SnapshotReply {}
