Place failed jobs where no worker is proven yet

A job that failed once was placed only on workers that had run something to its end. A new owner knows no such worker, and a small cell may have none, so the job waited for ever; and a cell of quarantined workers whose jobs had all failed once was never probed. Now any worker that is not quarantined will do where none is proven, and a job may be a probe unless another failure ends it.

Seen to fail before the change: aJobThatFailedOnceIsTriedElsewhereThoughNothingRanYet, aCellWhoseWorkersAreAllQuarantinedIsProbedWithJobsThatFailedOnce.

The switch over reasons of an end has a default now, so that a new reason needs no change here.

--- a/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/AdaptivePlanner.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.core.placement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -81,7 +82,7 @@
     switch (reason) {
       case DONE -> health.succeeded(job, worker);
       case FAILED -> health.failed(job, worker);
-      case CANCELLED, CHECKPOINTED, STOPPED, LEASE_LAPSED, HORIZON_PASSED -> {
+      default -> {
         // says nothing of the worker's health
       }
     }
@@ -139,14 +140,16 @@
     }
   }
 
-  /** Gives each quarantined worker that is due one task that never failed. */
+  /** Gives each quarantined worker that is due one task, which another failure would not end. */
   private void probe(CellView view, long nowMillis, List<PlannedAction> actions) {
     for (WorkerSlot slot : view.slots) {
       if (!slot.quarantined || !slot.tasks.isEmpty() || !health.isProbeDue(slot.id, nowMillis)) {
         continue;
       }
       Optional<TaskView> candidate =
-          view.waiting.stream().filter(task -> canProbe(view, slot, task)).findFirst();
+          view.waiting.stream()
+              .filter(task -> canProbe(view, slot, task))
+              .min(Comparator.comparingInt(task -> task.job.failedOn().size()));
       if (candidate.isPresent()) {
         TaskView task = candidate.get();
         view.waiting.remove(task);
@@ -160,7 +163,8 @@
   private static boolean canProbe(CellView view, WorkerSlot slot, TaskView task) {
     return task.rank > URGENT_RANK
         && !task.isWatcher()
-        && task.job.failedOn().isEmpty()
+        && task.job.failedOn().size() < CellLedger.MAX_FAILED_WORKERS - 1
+        && !task.job.failedOn().contains(slot.id)
         && slot.hasRoomFor(task.demand)
         && view.shares.isWithinQuota(task.workspace, task.demand)
         && !view.pairs.has(slot, task, PairRow.Rule.APART);
--- a/core/src/main/java/org/lavenderstage/core/placement/BinChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/BinChoice.java
@@ -83,10 +83,30 @@
             && view.pairs.staysBelow(slot, task, placeLimit));
   }
 
-  /** A job that failed before is tried only where others run, so that bad workers end no job. */
+  /**
+   * A job that failed before is tried where others run, so that bad workers end no job. Where no
+   * such worker is large enough, all that are not quarantined will do.
+   */
   private boolean isTrusted(WorkerSlot slot, TaskView task) {
-    return task.job.failedOn().isEmpty()
-        || (!task.job.failedOn().contains(slot.id) && health.isProven(slot.id));
+    if (task.job.failedOn().isEmpty()) {
+      return true;
+    }
+    return !task.job.failedOn().contains(slot.id)
+        && (health.isProven(slot.id) || !hasProvenChoice(task));
+  }
+
+  private boolean hasProvenChoice(TaskView task) {
+    if (task.provenChoice == null) {
+      task.provenChoice =
+          Arrays.stream(view.slots)
+              .anyMatch(
+                  slot ->
+                      !slot.quarantined
+                          && health.isProven(slot.id)
+                          && !task.job.failedOn().contains(slot.id)
+                          && task.demand.fitsIn(slot.state.total()));
+    }
+    return task.provenChoice;
   }
 
   private double score(WorkerSlot slot, TaskView task) {
--- a/core/src/main/java/org/lavenderstage/core/placement/TaskView.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/TaskView.java
@@ -12,6 +12,7 @@
   final int rank;
   boolean throttled;
   boolean evicting;
+  Boolean provenChoice;
 
   TaskView(JobState job, int batchClass, int rank) {
     this.job = job;
--- a/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/placement/AdaptivePlannerOrderTest.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.core.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
@@ -139,6 +140,40 @@
     assertEquals(List.of(new PlannedAction.Unthrottle("a")), planner.plan(ledger, 80_000));
   }
 
+  @Test
+  void aJobThatFailedOnceIsTriedElsewhereThoughNothingRanYet() {
+    worker("worker-1", "rack", 1000);
+    worker("worker-2", "rack", 1000);
+    job("a", "one", "low", 1000, false);
+    placeAll(0);
+    String first = fail("a");
+    placeAll(1000);
+    assertNotEquals(first, ledger.job("a").orElseThrow().worker());
+  }
+
+  @Test
+  void aCellWhoseWorkersAreAllQuarantinedIsProbedWithJobsThatFailedOnce() {
+    worker("worker-1", "rack", 3000);
+    for (String id : List.of("a", "b", "c")) {
+      job(id, "one", "low", 1000, false);
+    }
+    placeAll(0);
+    List.of("a", "b", "c").forEach(this::fail);
+    worker("worker-2", "rack", 3000);
+    planner.attemptEnded("x", "worker-2", EndReason.FAILED);
+    planner.attemptEnded("y", "worker-2", EndReason.FAILED);
+    planner.attemptEnded("z", "worker-2", EndReason.FAILED);
+    assertEquals(List.of(new PlannedAction.Place("a", "worker-2")), planner.plan(ledger, 1000));
+    assertEquals(List.of(), planner.plan(ledger, 2000));
+  }
+
+  private String fail(String job) {
+    String worker = ledger.job(job).orElseThrow().worker();
+    apply(new AttemptEnded(job, 1, "cell", 1, EndReason.FAILED, ""));
+    planner.attemptEnded(job, worker, EndReason.FAILED);
+    return worker;
+  }
+
   private void report(String worker, double latencyMicros) {
     ServiceUsage service = new ServiceUsage("service", latencyMicros, 0.5);
     planner.report(new UsageReport(worker, 0, 10_000, List.of(service), List.of()));
