--- a/core/src/main/java/org/lavenderstage/core/placement/CellView.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/CellView.java
@@ -27,13 +27,9 @@
   CellView(CellLedger ledger, Sheet sheet, PairTable pairs, PlannerMemory memory) {
     this.sheet = sheet;
     this.pairs = pairs;
-    List<JobState> live = new ArrayList<>();
-    for (JobState job : ledger.jobs()) {
-      if (!job.phase().isFinal()) {
-        live.add(job);
-        pairs.classIndex(job.accepted().batchClass());
-      }
-    }
+    List<JobState> live = new ArrayList<>(ledger.placedJobs());
+    live.addAll(ledger.waitingJobs());
+    live.forEach(job -> pairs.classIndex(job.accepted().batchClass()));
     slots = slots(ledger, memory);
     pairs.refresh();
     shares = shares();
