Keep the jobs of a cell in hash maps: fold and owner step no longer pay for ended jobs

The cause was a search in a tree of every kept job for each followed attempt at each step. The digest sorts the jobs when it is asked for.

--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/CellLedger.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,9 +41,9 @@
   public static final long DEFAULT_RETENTION_MILLIS = 3_600_000;
 
   private final Map<String, WorkerState> workers = new TreeMap<>();
-  private final Map<String, JobState> jobs = new TreeMap<>();
-  private final Map<String, JobState> waiting = new TreeMap<>();
-  private final Map<String, JobState> running = new TreeMap<>();
+  private final Map<String, JobState> jobs = new HashMap<>();
+  private final Map<String, JobState> waiting = new LinkedHashMap<>();
+  private final Map<String, JobState> running = new LinkedHashMap<>();
   private final Queue<JobState> endedJobs = new ArrayDeque<>();
   private final long clockSkewMillis;
   private final long retentionMillis;
@@ -324,7 +326,7 @@
   /**
    * Lists every job.
    *
-   * @return the jobs by identifier
+   * @return the jobs in no order
    */
   public Collection<JobState> jobs() {
     return Collections.unmodifiableCollection(jobs.values());
@@ -333,7 +335,7 @@
   /**
    * Lists the jobs that wait for a worker.
    *
-   * @return the jobs by identifier
+   * @return the jobs in the order in which they came to wait
    */
   public Collection<JobState> waitingJobs() {
     return Collections.unmodifiableCollection(waiting.values());
@@ -342,7 +344,7 @@
   /**
    * Lists the jobs that have a live attempt.
    *
-   * @return the jobs by identifier
+   * @return the jobs in the order of their placement
    */
   public Collection<JobState> placedJobs() {
     return Collections.unmodifiableCollection(running.values());
@@ -369,6 +371,6 @@
 
   @Override
   public String digest() {
-    return new StateDigest().add(ownership).add(workers).add(jobs).hex();
+    return new StateDigest().add(ownership).add(workers).add(new TreeMap<>(jobs)).hex();
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/task/AttemptSupervisor.java
+++ b/core/src/main/java/org/lavenderstage/core/task/AttemptSupervisor.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.lavenderstage.core.ledger.cell.CellLedger;
 import org.lavenderstage.core.ledger.cell.CellOwnership;
+import org.lavenderstage.core.ledger.cell.JobPhase;
 import org.lavenderstage.core.ledger.cell.JobState;
 import org.lavenderstage.core.record.AttemptEnded;
 import org.lavenderstage.core.record.AttemptExtended;
@@ -42,12 +43,14 @@
       }
       command(job, attempt, input).ifPresent(actions::add);
     }
-    attempts.keySet().removeIf(job -> !isPlaced(input.ledger(), job));
+    if (attempts.size() > input.ledger().placedJobs().size()) {
+      attempts.keySet().removeIf(job -> !isPlaced(input.ledger(), job));
+    }
     return actions;
   }
 
   private static boolean isPlaced(CellLedger ledger, String job) {
-    return ledger.job(job).filter(state -> !state.phase().isFinal()).isPresent();
+    return ledger.job(job).filter(state -> state.phase() == JobPhase.PLACED).isPresent();
   }
 
   private SupervisedAttempt follow(JobState job) {
