--- a/entry/src/test/java/org/lavenderstage/entry/task/Fault.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/Fault.java
@@ -6,6 +6,8 @@
   OWNER_KILLED_BEFORE,
   /** The owner dies once the step has taken effect. */
   OWNER_KILLED_AFTER,
+  /** The owner gives the cell up and stops, with commands on their way. */
+  OWNER_DRAINED,
   /** The owner freezes with the step decided, past its lease, and goes on with it when it wakes. */
   OWNER_FROZEN,
   /** The owner loses the log and still reaches the workers, so that two entries hold the cell. */
@@ -18,6 +20,8 @@
   STEP_VERY_LATE,
   /** A worker cannot be reached for a time and runs on. */
   WORKER_CUT,
+  /** A worker cannot be reached for less than a worker lease. */
+  WORKER_CUT_BRIEFLY,
   /** A worker fails for good. */
   WORKER_LOST,
   /** The log is down for ten minutes. */
--- a/entry/src/test/java/org/lavenderstage/entry/task/SimulatedEntry.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/SimulatedEntry.java
@@ -41,6 +41,7 @@
   private long sequence;
   private boolean logAnswers = true;
   private boolean killed;
+  private boolean draining;
   private long frozenUntilMillis;
   private long cutFromLogUntilMillis;
   private long appendNotBeforeMillis;
@@ -70,6 +71,10 @@
     return stream.fold();
   }
 
+  void drain() {
+    draining = true;
+  }
+
   void kill() {
     killed = true;
   }
@@ -127,7 +132,7 @@
       logic.take(answers.remove(), formerUntilMillis, ownNowMillis());
     }
     OwnerInput input =
-        new OwnerInput(ledger(), ownNowMillis(), logAnswers, world.listedWorkers(), false);
+        new OwnerInput(ledger(), ownNowMillis(), logAnswers, world.listedWorkers(), draining);
     for (OwnerAction action : logic.step(input)) {
       carryOut(new Held(world.broken().action(action), world.nowMillis()));
     }
--- a/entry/src/test/java/org/lavenderstage/entry/task/TaskWorld.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/TaskWorld.java
@@ -42,6 +42,8 @@
   private static final long LATE_MILLIS = 1500;
   private static final long VERY_LATE_MILLIS = 8000;
   private static final long CUT_MILLIS = 30_000;
+  private static final long BRIEF_CUT_MILLIS = 8000;
+  private static final long DRAIN_MILLIS = 3000;
   private static final long UNLIST_MILLIS = 5000;
   private static final long LOG_DOWN_MILLIS = 600_000;
   private static final long SETTLE_MILLIS = 15_000;
@@ -254,6 +256,10 @@
   long strike(SimulatedEntry entry, Fault fault, String worker) {
     switch (fault) {
       case OWNER_KILLED_BEFORE, OWNER_KILLED_AFTER -> kill(entry);
+      case OWNER_DRAINED -> {
+        entry.drain();
+        at(DRAIN_MILLIS, () -> kill(entry));
+      }
       case OWNER_FROZEN -> entry.freeze(nowMillis + FREEZE_MILLIS);
       case TWO_OWNERS -> entry.cutFromLog(nowMillis + TWO_OWNERS_MILLIS);
       case APPEND_ANSWERS_LOST -> appendAnswersLostUntilMillis = nowMillis + ANSWERS_LOST_MILLIS;
@@ -264,6 +270,7 @@
         return VERY_LATE_MILLIS;
       }
       case WORKER_CUT -> workers.cut(worker, nowMillis + CUT_MILLIS);
+      case WORKER_CUT_BRIEFLY -> workers.cut(worker, nowMillis + BRIEF_CUT_MILLIS);
       case WORKER_LOST -> {
         if (workers.lose(worker)) {
           at(UNLIST_MILLIS, () -> workers.unlist(worker));
@@ -279,6 +286,9 @@
   }
 
   private void kill(SimulatedEntry entry) {
+    if (entry.isKilled()) {
+      return;
+    }
     entry.kill();
     at(REPLACE_MILLIS, () -> addEntry(entry.name() + "-next"));
   }
