--- a/core/src/main/java/org/lavenderstage/core/ledger/cell/CellState.java
+++ b/core/src/main/java/org/lavenderstage/core/ledger/cell/CellState.java
@@ -8,7 +8,7 @@
  *
  * @param ownership who may propose placements
  * @param workers the workers in the order of their names
- * @param jobs the jobs in the order of their names
+ * @param jobs the jobs: those that wait, that run and that have ended, each in the order of the ledger
  */
 public record CellState(CellOwnership ownership, List<WorkerState> workers, List<JobState> jobs)
     implements FoldState {
