--- a/entry/src/main/java/org/lavenderstage/entry/request/OwnerQuery.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/OwnerQuery.java
@@ -19,7 +19,7 @@
 
 /** Asks the owner of a claim for its answer, each query over a link and a thread of its own. */
 final class OwnerQuery {
-  private static final int MAX_QUERIES = 256;
+  private static final int MAX_QUERIES = 64;
   private static final int LINK_MARGIN_MILLIS = 100;
 
   private final OwnerDirectory owners;
