Pin two rules of the claims that the fixed sequences do not reach

Orders are taken again after append answers were lost.

A failed try: this last test was meant to catch StreamAppender without the reset of failing after a read-back.

--- a/core/src/test/java/org/lavenderstage/core/claim/ClaimCoordinatorTest.java
+++ b/core/src/test/java/org/lavenderstage/core/claim/ClaimCoordinatorTest.java
@@ -56,6 +56,20 @@
     assertInstanceOf(ClaimDecision.Append.class, end.getLast());
   }
 
+  /** A third entry may have run the request since the owner spoke. */
+  @Test
+  void anOwnersDenialIsNeverPassedOnAsNotRun() {
+    claims.arrived(submission(1, 1000), Optional.empty(), false);
+    claims.readBack(CLAIM, true, mine(), true, 50);
+    claims.arrived(new ClaimSubmission(2, KEY, 0, 1000, true), mine(), false);
+    List<ClaimDecision> end = claims.ticked(1000);
+    assertEquals(List.of(ResultCode.DEADLINE_PASSED, ResultCode.CLAIM_RELEASED), codes(end));
+    ClaimAnswer denied = ClaimAnswer.of(ResultCode.DEADLINE_PASSED);
+    assertEquals(
+        List.of(ResultCode.CLAIM_RELEASED),
+        codes(claims.ownerReplied(submission(3, 1000), Optional.of(denied), mine())));
+  }
+
   @Test
   void aRepeatAtTheSameEntryGetsTheSameAnswer() {
     dispatched();
--- a/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
@@ -222,6 +222,16 @@
     await(() -> post(first, ORDERS, key(0), "order").status().code() == 200);
   }
 
+  @Test
+  void ordersAreTakenAgainAfterAppendAnswersWereLost() {
+    LOG_FAULTS.set(FaultSwitch.Kind.LOSE_ANSWERS, 50);
+    for (int i = 0; i < 10; i++) {
+      post(first, ORDERS, key(0), "order");
+    }
+    LOG_FAULTS.set(FaultSwitch.Kind.LOSE_ANSWERS, 0);
+    await(() -> post(first, ORDERS, key(0), "order").status().code() == 200);
+  }
+
   private static String key(long offsetMillis) {
     long random = UUID.randomUUID().getLeastSignificantBits();
     return new UUID(((System.currentTimeMillis() + offsetMillis) << 16) | 0x7000, random)
