Keep the slots of a dead entry from a fresh one that never heard of it

A VM that a peer's set still names now counts as unheard. A peer that drained and gave all up no longer counts, so that a planned replacement waits for nobody. Such a fresh entry starts with borrowed slots after 2 s. The fuzz replaces VMs now. The dispatcher steps its slots each 5 ms and tells them each 50 ms, not in each loop and each 10 ms.

--- a/core/src/main/java/org/lavenderstage/core/routing/SlotPeers.java
+++ b/core/src/main/java/org/lavenderstage/core/routing/SlotPeers.java
@@ -12,6 +12,7 @@
   private final String selfVm;
   private final long handoverNanos;
   private final Map<String, Peer> peers = new TreeMap<>();
+  private final Map<String, Long> forgotten = new TreeMap<>();
   private TreeSet<String> listed = new TreeSet<>();
 
   SlotPeers(String selfVm, long handoverNanos) {
@@ -33,6 +34,7 @@
 
   /** Takes an announcement; false where it is older than one that was taken before. */
   boolean heard(SlotAnnouncement said, boolean draining, long now) {
+    forgotten.remove(said.vm());
     Peer peer = peers.computeIfAbsent(said.vm(), name -> new Peer(now));
     SlotAnnouncement last = peer.last;
     if (last != null && last.incarnation().equals(said.incarnation())) {
@@ -45,8 +47,9 @@
       }
       peer.former.add(last.incarnation());
       peer.restUntil = now + handoverNanos;
-      peer.resting = true;
+      peer.resting = !peer.hasGivenUp();
     }
+    noteUnknown(said, now);
     peer.last = said;
     peer.draining = draining;
     peer.heardAt = now;
@@ -60,6 +63,15 @@
     return true;
   }
 
+  /** Lets a VM count that a peer still counts, since its requests may still run. */
+  private void noteUnknown(SlotAnnouncement said, long now) {
+    for (String vm : said.vms()) {
+      if (!vm.equals(selfVm) && !forgotten.containsKey(vm)) {
+        peers.computeIfAbsent(vm, name -> new Peer(now));
+      }
+    }
+  }
+
   /** Begins all silences anew, since this entry itself could not hear. */
   void restartSilences(long now) {
     peers.values().forEach(peer -> peer.vouchedAt = now);
@@ -67,10 +79,15 @@
 
   /** Forgets peers whose slots are free: silent towards every entry that is heard. */
   void expire(long now) {
-    peers.entrySet().removeIf(peer -> isSilent(peer.getValue(), now));
-    for (Peer peer : peers.values()) {
+    forgotten.values().removeIf(at -> now - at > handoverNanos);
+    for (Map.Entry<String, Peer> entry : peers.entrySet()) {
+      Peer peer = entry.getValue();
       peer.resting &= peer.restUntil - now > 0;
+      if (isSilent(peer, now)) {
+        forgotten.put(entry.getKey(), now);
+      }
     }
+    peers.keySet().removeAll(forgotten.keySet());
   }
 
   private boolean isSilent(Peer peer, long now) {
@@ -104,11 +121,14 @@
 
   /**
    * The last announcements of all peers that count, empty for one that was never heard from or
-   * whose predecessor's requests may still run.
+   * whose predecessor's requests may still run. One that drained and gave all up does not count.
    */
   List<Optional<SlotAnnouncement>> announcements() {
     List<Optional<SlotAnnouncement>> all = new ArrayList<>();
     for (Peer peer : peers.values()) {
+      if (peer.hasGivenUp() && !peer.resting) {
+        continue;
+      }
       all.add(peer.resting ? Optional.empty() : Optional.ofNullable(peer.last));
     }
     return all;
@@ -124,6 +144,11 @@
     private long restUntil;
     private boolean resting;
 
+    /** Tells whether it drained and holds no slot any more; it will not ask for one again. */
+    boolean hasGivenUp() {
+      return last != null && draining && !last.vms().contains(last.vm());
+    }
+
     Peer(long now) {
       heardAt = now;
       vouchedAt = now;
--- a/core/src/test/java/org/lavenderstage/core/routing/SlotSharesFuzzTest.java
+++ b/core/src/test/java/org/lavenderstage/core/routing/SlotSharesFuzzTest.java
@@ -30,6 +30,7 @@
             Tuple.of(4, SlotWorld.Kind.RETURN),
             Tuple.of(1, SlotWorld.Kind.KILL),
             Tuple.of(2, SlotWorld.Kind.START),
+            Tuple.of(1, SlotWorld.Kind.REPLACE),
             Tuple.of(1, SlotWorld.Kind.FREEZE),
             Tuple.of(1, SlotWorld.Kind.DRAIN),
             Tuple.of(1, SlotWorld.Kind.CUT),
@@ -122,6 +123,9 @@
         choice < 24
             ? SlotWorld.Kind.TICK
             : choice < 50 ? SlotWorld.Kind.SERVE : kinds[2 + choice % (kinds.length - 2)];
+    if (kind == SlotWorld.Kind.REPLACE && random.nextInt(4) > 0) {
+      kind = SlotWorld.Kind.TICK;
+    }
     return new SlotWorld.Step(kind, random.nextInt(6), random.nextInt(101));
   }
 }
--- a/core/src/test/java/org/lavenderstage/core/routing/SlotWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/routing/SlotWorld.java
@@ -30,6 +30,7 @@
   private long now;
   private long order;
   private int incarnations;
+  private int replacements;
   private String cutA = "";
   private String cutB = "";
   private int most;
@@ -60,21 +61,26 @@
   }
 
   void apply(Step step) {
-    String vm = "vm" + step.vm();
+    String vm = step.kind() == Kind.START ? "vm" + step.vm() : running(step.vm());
     switch (step.kind()) {
       case TICK -> tick(step.amount());
       case SERVE -> serve(vm);
-      case LEND -> lend(vm, "vm" + step.amount() % 6);
+      case LEND -> lend(vm, running(step.amount()));
       case RETURN -> giveBack(vm);
       case KILL -> kill(vm);
       case START -> start(vm);
+      case REPLACE -> replace(vm);
       case FREEZE -> freeze(vm, step.amount());
       case DRAIN -> drain(vm);
-      case CUT -> cut(vm, "vm" + step.amount() % 6);
+      case CUT -> cut(vm, running(step.amount()));
       case LIST -> laggingList = new ArrayList<>(nodes.keySet());
     }
   }
 
+  private String running(int index) {
+    return List.copyOf(nodes.keySet()).get(index % nodes.size());
+  }
+
   private void tick(int amount) {
     now += (50 + amount * 8L) * MILLIS;
     while (!timed.isEmpty() && timed.peek().at() <= now) {
@@ -211,6 +217,15 @@
     }
   }
 
+  /** Kills an entry; a new one on a new VM takes its place, and the list tells of both at once. */
+  private void replace(String vm) {
+    if (nodes.remove(vm) != null) {
+      replacements++;
+      start("new" + replacements);
+      laggingList = new ArrayList<>(nodes.keySet());
+    }
+  }
+
   private void freeze(String vm, int amount) {
     if (nodes.containsKey(vm)) {
       nodes.get(vm).frozenUntil = now + amount * 200L * MILLIS;
@@ -241,6 +256,7 @@
     RETURN,
     KILL,
     START,
+    REPLACE,
     FREEZE,
     DRAIN,
     CUT,
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
@@ -140,7 +140,7 @@
       replaceExecutors();
     }
     keeper.step(now);
-    ready |= keeper.hasSlots();
+    ready |= keeper.hasSlots(now);
     int taken = ring.drain(MAX_DRAIN, this::handle);
     services.values().forEach(this::serve);
     queued = services.values().stream().mapToInt(service -> service.scheduler().size()).sum();
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/SlotKeeper.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/SlotKeeper.java
@@ -25,7 +25,9 @@
 final class SlotKeeper {
   static final int SLOTS_PER_EXECUTOR = 8;
   private static final long LEAVING_MARK_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final long PUBLISH_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long BORROWING_START_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+  private static final long PUBLISH_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   private final String vm;
   private final String incarnation;
@@ -42,6 +44,8 @@
   private long publishedEpoch;
   private boolean urgent = true;
   private boolean refreshed;
+  private long firstRefreshNanos;
+  private boolean stepDue;
   private boolean draining;
 
   SlotKeeper(
@@ -81,17 +85,30 @@
     }
     urgent |= !leaving.equals(listedLeaving);
     listedLeaving = leaving;
-    refreshed = true;
+    if (!refreshed) {
+      refreshed = true;
+      firstRefreshNanos = now;
+    }
     executors = List.copyOf(usable);
     shares.list(entries, usable.stream().map(VmEntry::id).toList(), now);
   }
 
-  /** Tells whether all own slots may be used, or there is no executor at all. */
-  boolean hasSlots() {
-    return refreshed && (executors.isEmpty() || shares.isSettled());
+  /**
+   * Tells whether all own slots may be used, or there is no executor at all. An entry whose peers
+   * do not agree in time, such as the replacement of a dead one, begins with borrowed slots.
+   */
+  boolean hasSlots(long now) {
+    return refreshed
+        && (executors.isEmpty()
+            || shares.isSettled()
+            || now - firstRefreshNanos > BORROWING_START_NANOS);
   }
 
   void step(long now) {
+    if (!stepDue && now - steppedNanos < STEP_NANOS) {
+      return;
+    }
+    stepDue = false;
     if (now - steppedNanos > timing.freezeNanos()) {
       EventLog.warn(
           LogEvent.DISPATCH_FROZEN, "millis", TimeUnit.NANOSECONDS.toMillis(now - steppedNanos));
@@ -144,6 +161,7 @@
             state.vm(), state.incarnation(), state.sequence(), state.epoch(), state.vms(), acks),
         state.draining(),
         now);
+    stepDue = true;
     Long former = peerEpochs.put(state.incarnation(), state.epoch());
     urgent |= former == null || former != state.epoch();
     for (String executor : state.leavingExecutors()) {
