Fetch a newer sheet from a peer when the log is slow; unready where neither log nor peers confirm it

Cause: an entry cut off from the log kept an old version for as long as the cut lasted and went on as ready. The age of the read counts from its start, so that a process that was frozen is stale on waking.

Ruled out: any one peer as evidence (two entries cut off together would confirm each other); fetching at once (each commit would cross every link).

Also POST /drain on the admin port.

--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -20,6 +20,8 @@
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.config.ConfigurationSync;
+import org.lavenderstage.entry.config.WatchedLog;
 import org.lavenderstage.entry.dispatch.Dispatcher;
 import org.lavenderstage.entry.log.AppendBudget;
 import org.lavenderstage.entry.log.StreamAppender;
@@ -42,6 +44,8 @@
 import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.peer.SheetQuery;
+import org.lavenderstage.wire.platform.VmRole;
 import org.lavenderstage.wire.settings.EntrySettings;
 
 /** One entry: all its duties and ports, as a library; the daemon is a thin shell around it. */
@@ -62,6 +66,7 @@
   private final List<StreamAppender> appenders = new ArrayList<>();
   private final StreamReplica<SheetLedger> configReplica;
   private final Configuration configuration;
+  private final ConfigurationSync configSync;
   private final VmDirectory directory;
   private final Membership membership;
   private final PeerServer peerServer;
@@ -87,9 +92,18 @@
         new VmDirectory(
             new HttpVmList(settings.vmListAddress(), PLATFORM_TIMEOUT), VM_LIST_POLL_MILLIS);
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
-    configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
+    WatchedLog configLog = new WatchedLog(log);
+    configReplica = replica(CONFIG_STREAM, configLog, new SheetLedger());
     configuration = new Configuration(configReplica);
     membership = new Membership(this::self, directory, settings.heartbeatMillis());
+    configSync =
+        new ConfigurationSync(
+            configuration,
+            configReplica,
+            configLog,
+            membership::live,
+            this::otherEntries,
+            settings.configStaleMillis());
     AppendBudget budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
@@ -108,12 +122,14 @@
             new InetSocketAddress(settings.host(), settings.adminPort()),
             this::isReady,
             this::dump,
+            this::drain,
             metrics.registry());
     addresses = boundAddresses();
     addGauges();
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
+    configSync.start();
     owners.forEach(CellOwner::start);
     EventLog.info(
         LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
@@ -194,9 +210,21 @@
         draining);
   }
 
+  private int otherEntries() {
+    String me = settings.host() + ":" + peerServer.port();
+    return (int)
+        directory.vms(VmRole.ENTRY).stream()
+            .filter(vm -> !vm.leaving() && !vm.address().equals(me))
+            .count();
+  }
+
   private Optional<PeerMessage> handlePeer(PeerMessage message) {
     if (message instanceof Heartbeat heartbeat) {
       membership.heard(heartbeat);
+      configSync.heard(heartbeat);
+    }
+    if (message instanceof SheetQuery query) {
+      return Optional.of(configSync.answer(query));
     }
     return Optional.empty();
   }
@@ -209,6 +237,7 @@
   public boolean isReady() {
     return !draining
         && directory.isKnown()
+        && configSync.isCurrent()
         && replicas.stream().allMatch(StreamReplica::isCaughtUp);
   }
 
@@ -267,6 +296,13 @@
             });
   }
 
+  /** Turns unready and gives the cells up, so that the process can be stopped once it is idle. */
+  public void drain() {
+    draining = true;
+    EventLog.info(LogEvent.DRAIN_REQUESTED, "entry", name);
+    owners.forEach(CellOwner::drain);
+  }
+
   /** Stops gracefully: takes no new work, answers what is in flight and gives its cells up. */
   @Override
   public void close() {
@@ -299,6 +335,7 @@
   }
 
   private void closeNow() {
+    configSync.close();
     membership.close();
     directory.close();
     dispatcher.close();
--- a/entry/src/main/java/org/lavenderstage/entry/admin/AdminServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/admin/AdminServer.java
@@ -15,10 +15,14 @@
 import java.util.function.Supplier;
 import org.lavenderstage.wire.codec.JsonCodec;
 
-/** Serves {@code /healthz}, {@code /readyz}, {@code /metrics} and {@code /state} to operators. */
+/**
+ * Serves {@code /healthz}, {@code /readyz}, {@code /metrics}, {@code /state} and {@code POST
+ * /drain} to operators.
+ */
 public final class AdminServer implements AutoCloseable {
   private final BooleanSupplier ready;
   private final Supplier<StateDump> state;
+  private final Runnable drain;
   private final PrometheusRegistry metrics;
   private final Server server;
 
@@ -28,15 +32,18 @@
    * @param address address and port, 0 for a free one
    * @param ready whether the entry takes new work
    * @param state dumps what the entry knows
+   * @param drain begins to drain the entry and returns at once
    * @param metrics the entry's metrics
    */
   public AdminServer(
       InetSocketAddress address,
       BooleanSupplier ready,
       Supplier<StateDump> state,
+      Runnable drain,
       PrometheusRegistry metrics) {
     this.ready = ready;
     this.state = state;
+    this.drain = drain;
     this.metrics = metrics;
     this.server =
         Server.builder()
@@ -44,6 +51,9 @@
             .service("/healthz", (context, request) -> HttpResponse.of("ok\n"))
             .service("/readyz", (context, request) -> readiness())
             .service("/state", (context, request) -> dump())
+            .route()
+            .post("/drain")
+            .build((context, request) -> beginDrain())
             .service("/metrics", (context, request) -> exposition())
             .build();
     server.start().join();
@@ -55,6 +65,11 @@
         : HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE, MediaType.PLAIN_TEXT_UTF_8, "unready\n");
   }
 
+  private HttpResponse beginDrain() {
+    drain.run();
+    return HttpResponse.of(HttpStatus.ACCEPTED, MediaType.PLAIN_TEXT_UTF_8, "draining\n");
+  }
+
   private HttpResponse dump() {
     return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JsonCodec.encode(state.get()));
   }
--- a/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
+++ b/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
@@ -15,6 +15,7 @@
 /** Holds the newest committed sheet. A version is only ever replaced by a later one. */
 public final class Configuration {
   private final StreamReplica<SheetLedger> replica;
+  private volatile SheetVersion source = SheetVersion.NONE;
   private volatile SheetInForce inForce = new SheetInForce(0, Sheet.EMPTY);
 
   /**
@@ -29,22 +30,39 @@
 
   private void judged(RecordPosition at, LedgerRecord record, boolean effective) {
     if (effective && record instanceof SheetCommitted) {
-      adopt(replica.read(stream -> stream.fold().current()));
+      boolean unused = adopt(replica.read(stream -> stream.fold().current()));
     }
   }
 
-  private synchronized void adopt(SheetVersion version) {
+  /**
+   * Puts a version in force where it is newer than the present one.
+   *
+   * @param version the version, from the log or from a peer
+   * @return whether it is in force now
+   */
+  synchronized boolean adopt(SheetVersion version) {
     if (version.version() <= inForce.version()) {
-      return;
+      return false;
     }
     SheetCheck check = SheetReader.read(version.text());
     if (check.sheet().isEmpty()) {
       EventLog.warn(LogEvent.SHEET_UNREADABLE, "version", version.version());
-      return;
+      return false;
     }
+    source = version;
     inForce = new SheetInForce(version.version(), check.sheet().get());
     EventLog.info(
         LogEvent.SHEET_IN_FORCE, "version", version.version(), "rows", inForce.sheet().size());
+    return true;
+  }
+
+  /**
+   * Returns the version in force with its text.
+   *
+   * @return the version
+   */
+  public SheetVersion source() {
+    return source;
   }
 
   /**
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/config/ConfigurationSync.java
@@ -0,0 +1,188 @@
+package org.lavenderstage.entry.config;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.lavenderstage.core.ledger.StateDigest;
+import org.lavenderstage.core.membership.Member;
+import org.lavenderstage.core.sheet.SheetLedger;
+import org.lavenderstage.core.sheet.SheetSync;
+import org.lavenderstage.core.sheet.SheetVersion;
+import org.lavenderstage.entry.duty.Duty;
+import org.lavenderstage.entry.log.StreamReplica;
+import org.lavenderstage.entry.peer.PeerLink;
+import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.event.LogEvent;
+import org.lavenderstage.wire.peer.Heartbeat;
+import org.lavenderstage.wire.peer.SheetQuery;
+import org.lavenderstage.wire.peer.SheetReply;
+
+/** Keeps this entry's configuration current: from its copy of the log, and from peers else. */
+public final class ConfigurationSync implements AutoCloseable {
+  private static final long STEP_MILLIS = 50;
+  private static final int LINK_TIMEOUT_MILLIS = 1_000;
+
+  private final Configuration configuration;
+  private final StreamReplica<SheetLedger> replica;
+  private final WatchedLog log;
+  private final Supplier<List<Member>> members;
+  private final IntSupplier others;
+  private final SheetSync sync;
+  private boolean reportedCurrent;
+  private Duty duty;
+
+  /**
+   * Makes a duty that does not run yet.
+   *
+   * @param configuration what is in force here
+   * @param replica this entry's copy of the configuration stream
+   * @param log the log that the copy reads
+   * @param members the live entries, this one among them
+   * @param others count of the other entries by the VM list
+   * @param staleMillis how long evidence of being current counts in milliseconds
+   */
+  public ConfigurationSync(
+      Configuration configuration,
+      StreamReplica<SheetLedger> replica,
+      WatchedLog log,
+      Supplier<List<Member>> members,
+      IntSupplier others,
+      long staleMillis) {
+    this.configuration = configuration;
+    this.replica = replica;
+    this.log = log;
+    this.members = members;
+    this.others = others;
+    this.sync = new SheetSync(staleMillis);
+  }
+
+  /** Starts the duty. */
+  public void start() {
+    duty = new Duty("config-sync", this::step);
+  }
+
+  private void step() throws InterruptedException {
+    noteLog();
+    Optional<String> peer;
+    synchronized (sync) {
+      sync.inForce(configuration.inForce().version());
+      peer = sync.nextFetch(nowMillis());
+    }
+    peer.ifPresent(this::fetch);
+    report();
+    TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
+  }
+
+  private void noteLog() {
+    Optional<WatchedLog.EndSeen> end = log.lastEnd();
+    boolean folded =
+        end.isPresent()
+            && replica.read(stream -> stream.nextOffset()) >= end.get().endOffset()
+            && replica.read(stream -> stream.fold().current().version())
+                <= configuration.inForce().version();
+    if (folded) {
+      synchronized (sync) {
+        sync.logShown(end.get().readAtMillis());
+      }
+    }
+  }
+
+  private void fetch(String peer) {
+    Optional<Member> member =
+        members.get().stream().filter(live -> live.entry().equals(peer)).findFirst();
+    boolean fetched = member.isPresent() && fetch(member.get());
+    if (!fetched) {
+      synchronized (sync) {
+        sync.fetchFailed(peer, nowMillis());
+      }
+    }
+  }
+
+  private boolean fetch(Member member) {
+    SheetQuery query = new SheetQuery(configuration.inForce().version());
+    try (PeerLink link = new PeerLink(member.peerAddress(), LINK_TIMEOUT_MILLIS)) {
+      boolean adopted =
+          link.ask(query).filter(reply -> reply instanceof SheetReply).stream()
+              .anyMatch(reply -> adopt((SheetReply) reply));
+      EventLog.info(
+          adopted ? LogEvent.SHEET_FETCHED : LogEvent.SHEET_FETCH_FAILED, "peer", member.entry());
+      return adopted;
+    } catch (IOException e) {
+      EventLog.info(LogEvent.SHEET_FETCH_FAILED, "peer", member.entry(), "cause", e.getMessage());
+      return false;
+    }
+  }
+
+  private boolean adopt(SheetReply reply) {
+    if (!StateDigest.sha256Hex(reply.text()).equals(reply.digest())) {
+      return false;
+    }
+    return configuration.adopt(
+        new SheetVersion(reply.version(), reply.text(), reply.digest(), reply.committedAtMillis()));
+  }
+
+  private void report() {
+    boolean current = isCurrent();
+    if (current != reportedCurrent) {
+      reportedCurrent = current;
+      EventLog.info(
+          current ? LogEvent.SHEET_CURRENT : LogEvent.SHEET_STALE,
+          "version",
+          configuration.inForce().version());
+    }
+  }
+
+  /**
+   * Takes a peer's heartbeat.
+   *
+   * @param heartbeat the heartbeat
+   */
+  public void heard(Heartbeat heartbeat) {
+    synchronized (sync) {
+      sync.heard(heartbeat.entry(), heartbeat.sheetVersion(), nowMillis());
+    }
+  }
+
+  /**
+   * Answers a peer that asks for a newer version.
+   *
+   * @param query the peer's question
+   * @return the version in force, without its text where it is not newer
+   */
+  public SheetReply answer(SheetQuery query) {
+    SheetVersion version = configuration.source();
+    String text = version.version() > query.version() ? version.text() : "";
+    return new SheetReply(
+        version.version(),
+        text,
+        version.digest(),
+        version.committedAtMillis(),
+        replica.read(stream -> stream.nextOffset()));
+  }
+
+  /**
+   * Tells whether this entry can show that its configuration is the newest one.
+   *
+   * @return whether it may be acted on
+   */
+  public boolean isCurrent() {
+    synchronized (sync) {
+      sync.inForce(configuration.inForce().version());
+      return sync.isCurrent(others.getAsInt(), nowMillis());
+    }
+  }
+
+  private static long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  @Override
+  public void close() {
+    if (duty != null) {
+      duty.close();
+    }
+  }
+}
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -12,6 +12,8 @@
   ENTRY_READY(1004),
   /** A setting cannot be taken. */
   SETTING_REFUSED(1005),
+  /** An operator asked for a drain. */
+  DRAIN_REQUESTED(1100),
   /** A read of the log failed. */
   LOG_READ_FAILED(2001),
   /** An append to the log failed or lost its answer. */
@@ -32,6 +34,14 @@
   SHEET_IN_FORCE(4001),
   /** A committed sheet cannot be read. */
   SHEET_UNREADABLE(4002),
+  /** A version was fetched from a peer. */
+  SHEET_FETCHED(4003),
+  /** A peer gave no newer version. */
+  SHEET_FETCH_FAILED(4004),
+  /** The entry cannot show that its version is the newest one. */
+  SHEET_STALE(4005),
+  /** The entry can show again that its version is the newest one. */
+  SHEET_CURRENT(4006),
   /** A peer link failed. */
   PEER_FAILED(5001),
   /** A duty failed and goes on. */
--- a/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
@@ -1,4 +1,5 @@
 package org.lavenderstage.wire.peer;
 
 /** A message between two entries. */
-public sealed interface PeerMessage permits AnswerQuery, AnswerReply, Heartbeat {}
+public sealed interface PeerMessage
+    permits AnswerQuery, AnswerReply, Heartbeat, SheetQuery, SheetReply {}
