Check settings with their rules and all errors at once; give operators status, wait, state and drain; add the load tool

Cause: JCommander stops at the first wrong flag, lists and powers of two were not checked, and ctl knew only check and publish. The arguments are now divided first, so that every unknown, doubled, valueless or wrong setting is told in one run with its flag, variable, value and range, exit code 2. The settings of each ctl command and of bench load come from the schema like the daemon's.

--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/load/LoadRun.java
@@ -0,0 +1,92 @@
+package org.lavenderstage.bench.load;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.lavenderstage.wire.settings.LoadSettings;
+
+/**
+ * One run of an open load: requests are due at fixed times whether or not earlier ones were
+ * answered, and latency counts from the due time, so that a stall of the sender or the target is
+ * not left out.
+ */
+final class LoadRun {
+  private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final long SPIN_NANOS = 60_000;
+  private static final int MAX_OUTSTANDING = 20_000;
+  private static final int DIGITS = 3;
+  private static final long DRAIN_SECONDS = 30;
+
+  private final LoadTarget target;
+  private final Histogram micros = new ConcurrentHistogram(DIGITS);
+  private final AtomicLong answered = new AtomicLong();
+  private final AtomicLong failed = new AtomicLong();
+  private final Semaphore outstanding = new Semaphore(MAX_OUTSTANDING);
+
+  private LoadRun(LoadTarget target) {
+    this.target = target;
+  }
+
+  /**
+   * Sends a warm-up and then the measured load.
+   *
+   * @param settings rate and times
+   * @param target what takes the requests
+   * @return what was measured
+   */
+  static LoadResult run(LoadSettings settings, LoadTarget target) {
+    new LoadRun(target).send(settings.rate(), settings.warmupSeconds());
+    LoadRun measured = new LoadRun(target);
+    measured.send(settings.rate(), settings.seconds());
+    return new LoadResult(measured.micros, measured.answered.get(), measured.failed.get());
+  }
+
+  private void send(int rate, int seconds) {
+    long start = System.nanoTime();
+    long requests = (long) rate * seconds;
+    for (long number = 0; number < requests; number++) {
+      long due = start + number * NANOS_PER_SECOND / rate;
+      awaitTime(due);
+      if (outstanding.tryAcquire()) {
+        CompletableFuture<?> unused = target.send(number).thenAccept(whole -> finished(due, whole));
+      } else {
+        failed.incrementAndGet();
+      }
+    }
+    awaitAll();
+  }
+
+  private void finished(long due, boolean whole) {
+    micros.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - due));
+    (whole ? answered : failed).incrementAndGet();
+    outstanding.release();
+  }
+
+  private static void awaitTime(long due) {
+    long left = due - System.nanoTime();
+    while (left > 0) {
+      if (left > SPIN_NANOS) {
+        LockSupport.parkNanos(left - SPIN_NANOS);
+      } else {
+        Thread.onSpinWait();
+      }
+      left = due - System.nanoTime();
+    }
+  }
+
+  private void awaitAll() {
+    try {
+      if (outstanding.tryAcquire(MAX_OUTSTANDING, DRAIN_SECONDS, TimeUnit.SECONDS)) {
+        outstanding.release(MAX_OUTSTANDING);
+      } else {
+        failed.addAndGet(MAX_OUTSTANDING - outstanding.availablePermits());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/ctl/src/main/java/org/lavenderstage/ctl/CtlCommand.java
+++ b/ctl/src/main/java/org/lavenderstage/ctl/CtlCommand.java
@@ -1,34 +1,63 @@
 package org.lavenderstage.ctl;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.time.Duration;
+import java.nio.charset.CharacterCodingException;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import org.lavenderstage.core.sheet.SheetCheck;
-import org.lavenderstage.core.sheet.SheetVersion;
+import java.util.Map;
+import java.util.function.Function;
 import org.lavenderstage.platform.PlatformUnavailableException;
-import org.lavenderstage.platform.http.HttpLog;
-import org.lavenderstage.wire.csv.SheetReader;
+import org.lavenderstage.wire.settings.EntriesSettings;
+import org.lavenderstage.wire.settings.EntryAdminSettings;
+import org.lavenderstage.wire.settings.JobStatusSettings;
+import org.lavenderstage.wire.settings.SettingError;
+import org.lavenderstage.wire.settings.SettingFlags;
+import org.lavenderstage.wire.settings.SettingValues;
+import org.lavenderstage.wire.settings.SettingsHelp;
+import org.lavenderstage.wire.settings.SettingsReader;
+import org.lavenderstage.wire.settings.SheetCheckSettings;
+import org.lavenderstage.wire.settings.SheetPublishSettings;
 
-/** The operators' commands: {@code sheet check} and {@code sheet publish}. */
+/** The operators' commands. */
 public final class CtlCommand {
-  private static final int FAILED = 1;
-  private static final int USAGE_ERROR = 2;
-  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  /** Exit code of a command that was refused or failed. */
+  static final int FAILED = 1;
+
+  /** Exit code of wrong flags or variables. */
+  static final int USAGE_ERROR = 2;
+
+  private static final List<String> WAITABLE = List.of("sheet publish", "drain");
+  private static final String PROGRAM = "lavenderstage ctl ";
   private static final String USAGE =
-      "usage: lavenderstage ctl sheet check FILE\n"
-          + "       lavenderstage ctl sheet publish --file FILE --base VERSION --log-address A";
+      """
+      usage: lavenderstage ctl COMMAND [flags]; each command takes --help
+        sheet check FILE      reports every fault of a sheet
+        sheet publish FILE    publishes a sheet; --wait waits until it is in force everywhere
+        sheet status          shows the version of each live entry
+        job status            shows the state of a job
+        state                 prints all that an entry knows as JSON
+        drain                 makes an entry unready; --wait waits until it is idle
+      exit codes: 0 done, 1 failed or refused, 2 wrong flags or variables
+      """;
 
-  private CtlCommand() {}
+  private final PrintStream out;
+  private final PrintStream err;
+  private final Map<String, String> environment;
+  private final boolean wait;
+
+  private CtlCommand(
+      PrintStream out, PrintStream err, Map<String, String> environment, boolean wait) {
+    this.out = out;
+    this.err = err;
+    this.environment = environment;
+    this.wait = wait;
+  }
 
   /**
-   * Runs one command.
+   * Runs one command with the process's environment variables.
    *
    * @param arguments the command and its flags
    * @param out for results
@@ -36,55 +65,128 @@
    * @return exit code: 0, 1 where the command failed, 2 for wrong flags
    */
   public static int run(String[] arguments, PrintStream out, PrintStream err) {
-    List<String> words = Arrays.asList(arguments);
+    return run(arguments, System.getenv(), out, err);
+  }
+
+  static int run(
+      String[] arguments, Map<String, String> environment, PrintStream out, PrintStream err) {
+    List<String> words = new ArrayList<>(Arrays.asList(arguments));
+    String name = String.join(" ", words.subList(0, Math.min(2, words.size())));
+    boolean wait = WAITABLE.stream().anyMatch(name::startsWith) && words.remove("--wait");
     try {
-      if (words.size() == 3 && words.subList(0, 2).equals(List.of("sheet", "check"))) {
-        return check(Path.of(words.get(2)), out, err);
-      }
-      if (words.size() >= 2 && words.subList(0, 2).equals(List.of("sheet", "publish"))) {
-        return publish(words.subList(2, words.size()), out, err);
-      }
+      return new CtlCommand(out, err, environment, wait).dispatch(words);
+    } catch (CharacterCodingException e) {
+      err.println("the file is not UTF-8; export it as CSV in UTF-8");
     } catch (IOException e) {
       err.println("cannot read " + e.getMessage());
-      return FAILED;
     } catch (PlatformUnavailableException e) {
-      err.println("the log gave no answer: " + e.getMessage());
-      return FAILED;
+      err.println("no answer: " + e.getMessage());
     }
-    err.println(USAGE);
-    return USAGE_ERROR;
+    return FAILED;
   }
 
-  private static int check(Path file, PrintStream out, PrintStream err) throws IOException {
-    SheetCheck check = SheetReader.read(Files.readString(file));
-    check.errors().forEach(err::println);
-    check.sheet().ifPresent(sheet -> out.println("ok, " + sheet.size() + " rows"));
-    return check.sheet().isPresent() ? 0 : FAILED;
+  private int dispatch(List<String> words) throws IOException, PlatformUnavailableException {
+    String first = words.isEmpty() ? "" : words.get(0);
+    boolean grouped = first.equals("sheet") || first.equals("job");
+    int nameWords = Math.min(words.size(), grouped ? 2 : 1);
+    List<String> rest = words.subList(nameWords, words.size());
+    return switch (String.join(" ", words.subList(0, nameWords))) {
+      case "sheet check" -> sheetCheck(withFile(rest));
+      case "sheet publish" -> sheetPublish(withFile(rest));
+      case "sheet status" -> sheetStatus(rest);
+      case "job status" -> jobStatus(rest);
+      case "state" -> state(rest);
+      case "drain" -> drain(rest);
+      case "--help", "help" -> {
+        out.print(USAGE);
+        yield 0;
+      }
+      default -> {
+        err.print(USAGE);
+        yield USAGE_ERROR;
+      }
+    };
   }
 
-  private static int publish(List<String> arguments, PrintStream out, PrintStream err)
-      throws IOException, PlatformUnavailableException {
-    SheetPublishCommand flags = new SheetPublishCommand();
-    JCommander commander =
-        JCommander.newBuilder()
-            .programName("lavenderstage ctl sheet publish")
-            .addObject(flags)
-            .build();
-    try {
-      commander.parse(arguments.toArray(new String[0]));
-    } catch (ParameterException e) {
-      err.println(e.getMessage());
-      return USAGE_ERROR;
+  /** Takes a file that stands without its flag. */
+  private static List<String> withFile(List<String> words) {
+    List<String> rest = new ArrayList<>(words);
+    if (!rest.isEmpty() && !rest.get(0).startsWith("--")) {
+      rest.add(0, "--sheet");
     }
-    if (flags.help) {
-      commander.usage();
-      return 0;
+    return rest;
+  }
+
+  private int sheetCheck(List<String> words) throws IOException {
+    Either<Integer, SheetCheckSettings> settings =
+        settings("sheet check", new SheetCheckSettings.Flags(), words, SheetCheckSettings::of);
+    return settings.isLeft()
+        ? settings.getLeft()
+        : new SheetCommands(out, err).check(settings.get());
+  }
+
+  private int sheetPublish(List<String> words) throws IOException, PlatformUnavailableException {
+    Either<Integer, SheetPublishSettings> settings =
+        settings(
+            "sheet publish", new SheetPublishSettings.Flags(), words, SheetPublishSettings::of);
+    return settings.isLeft()
+        ? settings.getLeft()
+        : new SheetCommands(out, err).publish(settings.get(), wait);
+  }
+
+  private int sheetStatus(List<String> words) {
+    Either<Integer, EntriesSettings> settings =
+        settings("sheet status", new EntriesSettings.Flags(), words, EntriesSettings::of);
+    return settings.isLeft()
+        ? settings.getLeft()
+        : new SheetCommands(out, err).status(settings.get().entries());
+  }
+
+  private int jobStatus(List<String> words) throws PlatformUnavailableException {
+    Either<Integer, JobStatusSettings> settings =
+        settings("job status", new JobStatusSettings.Flags(), words, JobStatusSettings::of);
+    if (settings.isLeft()) {
+      return settings.getLeft();
+    }
+    JobStatusSettings job = settings.get();
+    out.println(new EntryClient(job.entry()).job(job.workspace(), job.token(), job.job()));
+    return 0;
+  }
+
+  private int state(List<String> words) throws PlatformUnavailableException {
+    Either<Integer, EntryAdminSettings> settings =
+        settings("state", new EntryAdminSettings.Flags(), words, EntryAdminSettings::of);
+    if (settings.isLeft()) {
+      return settings.getLeft();
+    }
+    out.println(new EntryClient(settings.get().entry()).dump());
+    return 0;
+  }
+
+  private int drain(List<String> words) throws PlatformUnavailableException {
+    Either<Integer, EntryAdminSettings> settings =
+        settings("drain", new EntryAdminSettings.Flags(), words, EntryAdminSettings::of);
+    return settings.isLeft()
+        ? settings.getLeft()
+        : new DrainCommand(out, err).run(new EntryClient(settings.get().entry()), wait);
+  }
+
+  /** Reads a command's settings; an exit code stands for help or errors that were printed. */
+  private <T> Either<Integer, T> settings(
+      String name, SettingFlags flags, List<String> words, Function<SettingValues, T> build) {
+    Either<List<SettingError>, SettingValues> values =
+        SettingsReader.parse(flags, words.toArray(new String[0]), environment);
+    if (values.isLeft()) {
+      values.getLeft().forEach(err::println);
+      return Either.left(USAGE_ERROR);
+    }
+    if (flags.help()) {
+      out.print(SettingsHelp.text(PROGRAM + name, flags.specs()));
+      if (WAITABLE.contains(name)) {
+        out.println("with --wait, a flag without a value, the command ends when its work is done");
+      }
+      return Either.left(0);
     }
-    SheetPublisher publisher = new SheetPublisher(new HttpLog(flags.logAddress, TIMEOUT));
-    Either<List<String>, SheetVersion> result =
-        publisher.publish(Files.readString(Path.of(flags.file)), flags.base, flags.operator);
-    result.peekLeft(reasons -> reasons.forEach(err::println));
-    result.peek(version -> out.println("version " + version.version() + " is committed"));
-    return result.isRight() ? 0 : FAILED;
+    return Either.right(build.apply(values.get()));
   }
 }
--- a/ctl/src/main/java/org/lavenderstage/ctl/SheetPublisher.java
+++ b/ctl/src/main/java/org/lavenderstage/ctl/SheetPublisher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.lavenderstage.core.ledger.LedgerStream;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.StateDigest;
@@ -39,6 +40,7 @@
   private static final long RETRY_MILLIS = 200;
 
   private final Log log;
+  private final Consumer<String> progress;
   private final String writer = "ctl-" + UUID.randomUUID();
   private final LedgerStream<SheetLedger> stream = new LedgerStream<>(new SheetLedger());
   private long sequence;
@@ -49,7 +51,18 @@
    * @param log the platform's log
    */
   public SheetPublisher(Log log) {
+    this(log, message -> {});
+  }
+
+  /**
+   * Makes a publisher that tells of a log that is slow or down.
+   *
+   * @param log the platform's log
+   * @param progress is told of every append that is repeated
+   */
+  public SheetPublisher(Log log, Consumer<String> progress) {
     this.log = log;
+    this.progress = progress;
   }
 
   /**
@@ -149,6 +162,13 @@
         if (tries == MAX_TRIES) {
           throw e;
         }
+        progress.accept(
+            "the log gave no answer to append "
+                + sequence
+                + ", try "
+                + (tries + 1)
+                + " of "
+                + MAX_TRIES);
         pause();
       }
     }
--- /dev/null
+++ b/ctl/src/test/java/org/lavenderstage/ctl/LossyLog.java
@@ -0,0 +1,53 @@
+package org.lavenderstage.ctl;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.lavenderstage.platform.Log;
+import org.lavenderstage.platform.PlatformUnavailableException;
+import org.lavenderstage.wire.platform.LogPage;
+import org.lavenderstage.wire.platform.StoredRecord;
+
+/** A log in memory that loses answers of appends after or before they took effect. */
+final class LossyLog implements Log {
+  private final List<StoredRecord> records = new ArrayList<>();
+  private int lostAfterEffect;
+  private int lostBeforeEffect;
+  private boolean readsFail;
+
+  void loseAnswers(int afterEffect, int beforeEffect, boolean failReads) {
+    lostAfterEffect = afterEffect;
+    lostBeforeEffect = beforeEffect;
+    readsFail = failReads;
+  }
+
+  int size() {
+    return records.size();
+  }
+
+  @Override
+  public long append(String stream, byte[] bytes) throws PlatformUnavailableException {
+    if (lostBeforeEffect > 0) {
+      lostBeforeEffect--;
+      throw new PlatformUnavailableException("append", null);
+    }
+    long offset = records.size();
+    records.add(new StoredRecord(offset, offset, bytes));
+    if (lostAfterEffect > 0) {
+      lostAfterEffect--;
+      throw new PlatformUnavailableException("append", null);
+    }
+    return offset;
+  }
+
+  @Override
+  public LogPage read(String stream, long fromOffset, int max, Duration wait)
+      throws PlatformUnavailableException {
+    if (readsFail) {
+      throw new PlatformUnavailableException("read", null);
+    }
+    int to = (int) Math.min(records.size(), fromOffset + max);
+    return new LogPage(
+        0, records.size(), records.size(), List.copyOf(records.subList((int) fromOffset, to)));
+  }
+}
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -69,6 +69,7 @@
   private final ConfigurationSync configSync;
   private final VmDirectory directory;
   private final Membership membership;
+  private final AppendBudget budget;
   private final PeerServer peerServer;
   private final Dispatcher dispatcher;
   private final List<Cell> cells = new ArrayList<>();
@@ -104,7 +105,7 @@
             membership::live,
             this::otherEntries,
             settings.configStaleMillis());
-    AppendBudget budget =
+    budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     StreamReplica<ClaimLedger> claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger());
     ClaimCoordinator claims =
@@ -259,11 +260,16 @@
     return new StateDump(
         name,
         settings.vm(),
+        settings.domain(),
         isReady(),
+        draining,
         configuration.inForce().version(),
+        configSync.dump(),
         replicas.stream().map(Entry::dump).toList(),
         cells.stream().map(Entry::dump).toList(),
         membership.live(),
+        directory.vms(),
+        budget.tokens(),
         dispatcher.queued(),
         dispatcher.inFlight());
   }
@@ -275,6 +281,7 @@
                 replica.stream(),
                 stream.nextOffset(),
                 stream.fold().digest(),
+                replica.lag(),
                 replica.isReachable(),
                 stream.duplicateBatches(),
                 stream.unknownRecords(),
--- a/entry/src/main/java/org/lavenderstage/entry/EntryCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/EntryCommand.java
@@ -1,7 +1,5 @@
 package org.lavenderstage.entry;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
 import java.io.PrintStream;
 import java.util.List;
@@ -11,6 +9,7 @@
 import org.lavenderstage.wire.settings.EntrySettings;
 import org.lavenderstage.wire.settings.SettingError;
 import org.lavenderstage.wire.settings.SettingValues;
+import org.lavenderstage.wire.settings.SettingsHelp;
 import org.lavenderstage.wire.settings.SettingsReader;
 
 /** The daemon's command line: checks the settings, runs an entry until the process is stopped. */
@@ -33,25 +32,16 @@
       String[] arguments, Map<String, String> environment, PrintStream out, PrintStream err)
       throws InterruptedException {
     EntrySettings.Flags flags = new EntrySettings.Flags();
-    JCommander commander =
-        JCommander.newBuilder().programName("lavenderstage entry").addObject(flags).build();
-    try {
-      commander.parse(arguments);
-    } catch (ParameterException e) {
-      err.println(e.getMessage());
+    Either<List<SettingError>, SettingValues> values =
+        SettingsReader.parse(flags, arguments, environment);
+    if (values.isLeft()) {
+      values.getLeft().forEach(err::println);
       return USAGE_ERROR;
     }
     if (flags.help()) {
-      StringBuilder usage = new StringBuilder();
-      commander.getUsageFormatter().usage(usage);
-      out.println(usage);
+      out.print(SettingsHelp.text("lavenderstage entry", flags.specs()));
       return 0;
     }
-    Either<List<SettingError>, SettingValues> values = SettingsReader.read(flags, environment);
-    if (values.isLeft()) {
-      values.getLeft().forEach(err::println);
-      return USAGE_ERROR;
-    }
     serve(EntrySettings.of(values.get()), out);
     return 0;
   }
--- a/entry/src/main/java/org/lavenderstage/entry/config/ConfigurationSync.java
+++ b/entry/src/main/java/org/lavenderstage/entry/config/ConfigurationSync.java
@@ -11,6 +11,7 @@
 import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.core.sheet.SheetSync;
 import org.lavenderstage.core.sheet.SheetVersion;
+import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.entry.duty.Duty;
 import org.lavenderstage.entry.log.StreamReplica;
 import org.lavenderstage.entry.peer.PeerLink;
@@ -175,6 +176,25 @@
     }
   }
 
+  /**
+   * Dumps the configuration for operators.
+   *
+   * @return the dump
+   */
+  public StateDump.ConfigurationDump dump() {
+    SheetVersion version = configuration.source();
+    return replica.read(
+        stream ->
+            new StateDump.ConfigurationDump(
+                version.version(),
+                version.digest(),
+                version.committedAtMillis(),
+                configuration.inForce().sheet().size(),
+                isCurrent(),
+                stream.fold().pendingSheets(),
+                stream.fold().pendingCharacters()));
+  }
+
   private static long nowMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
--- a/entry/src/main/java/org/lavenderstage/entry/vm/VmDirectory.java
+++ b/entry/src/main/java/org/lavenderstage/entry/vm/VmDirectory.java
@@ -44,6 +44,15 @@
     TimeUnit.MILLISECONDS.sleep(pollMillis);
   }
 
+  /**
+   * Lists all VMs.
+   *
+   * @return the VMs as last read
+   */
+  public List<VmEntry> vms() {
+    return vms;
+  }
+
   /**
    * Lists the VMs of a role.
    *
--- a/wire/src/main/java/org/lavenderstage/wire/settings/SettingError.java
+++ b/wire/src/main/java/org/lavenderstage/wire/settings/SettingError.java
@@ -1,16 +1,20 @@
 package org.lavenderstage.wire.settings;
 
 /**
- * One setting that cannot be taken.
+ * One flag or variable that cannot be taken.
  *
- * @param spec the setting
- * @param source flag or variable that gave the value, or both where none was given
- * @param value the value, empty for none
+ * @param setting flag and variable of the setting, or the flag that is not known
+ * @param problem what is wrong, with the value
+ * @param expected what would be allowed
  */
-public record SettingError(SettingSpec spec, String source, String value) {
+public record SettingError(String setting, String problem, String expected) {
+  static SettingError of(SettingSpec spec, String problem) {
+    String names = spec.flag() + " (variable " + spec.variable() + ")";
+    return new SettingError(names, problem, spec.range() + ": " + spec.description());
+  }
+
   @Override
   public String toString() {
-    String given = value.isEmpty() ? "is missing" : "is '" + value + "'";
-    return source + " " + given + ": expected " + spec.range() + " (" + spec.description() + ")";
+    return setting + " " + problem + "; expected " + expected;
   }
 }
--- a/wire/src/main/java/org/lavenderstage/wire/settings/SettingSpec.java
+++ b/wire/src/main/java/org/lavenderstage/wire/settings/SettingSpec.java
@@ -12,6 +12,7 @@
  * @param min smallest number
  * @param max largest number
  * @param description explanation for people, with the unit
+ * @param rule what the value must be beyond its type
  */
 public record SettingSpec(
     String name,
@@ -19,7 +20,8 @@
     Optional<String> defaultValue,
     int min,
     int max,
-    String description) {
+    String description,
+    SettingRule rule) {
   /** Start of the environment variables' names. */
   public static final String VARIABLE_PREFIX = "LAVENDERSTAGE_";
 
@@ -35,7 +37,7 @@
    */
   public static SettingSpec integer(
       String name, Optional<String> defaultValue, int min, int max, String description) {
-    return new SettingSpec(name, true, defaultValue, min, max, description);
+    return new SettingSpec(name, true, defaultValue, min, max, description, SettingRule.ANY);
   }
 
   /**
@@ -47,7 +49,17 @@
    * @return the setting
    */
   public static SettingSpec text(String name, Optional<String> defaultValue, String description) {
-    return new SettingSpec(name, false, defaultValue, 0, 0, description);
+    return new SettingSpec(name, false, defaultValue, 0, 0, description, SettingRule.ANY);
+  }
+
+  /**
+   * Adds a rule.
+   *
+   * @param added what the value must be beyond its type
+   * @return the setting with the rule
+   */
+  public SettingSpec withRule(SettingRule added) {
+    return new SettingSpec(name, isInteger, defaultValue, min, max, description, added);
   }
 
   /**
@@ -74,7 +86,11 @@
    * @return the range
    */
   public String range() {
-    return isInteger ? min + " to " + max : "a text that is not empty";
+    if (!isInteger) {
+      return rule.text();
+    }
+    String numbers = min + " to " + max;
+    return rule == SettingRule.ANY ? numbers : rule.text() + ", " + numbers;
   }
 
   /**
@@ -84,8 +100,11 @@
    * @return whether it is allowed
    */
   public boolean allows(String value) {
+    if (!rule.allows(value)) {
+      return false;
+    }
     if (!isInteger) {
-      return !value.isBlank();
+      return true;
     }
     try {
       int number = Integer.parseInt(value);
--- a/wire/src/main/java/org/lavenderstage/wire/settings/SettingsReader.java
+++ b/wire/src/main/java/org/lavenderstage/wire/settings/SettingsReader.java
@@ -1,16 +1,43 @@
 package org.lavenderstage.wire.settings;
 
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** Reads settings from flags, then environment variables, then defaults, and checks all at once. */
 public final class SettingsReader {
   private SettingsReader() {}
 
+  /**
+   * Parses the arguments, then reads and checks every setting.
+   *
+   * @param flags takes the values of the arguments
+   * @param arguments the arguments
+   * @param environment the environment variables
+   * @return the values, or every error; no values where the help was asked for
+   */
+  public static Either<List<SettingError>, SettingValues> parse(
+      SettingFlags flags, String[] arguments, Map<String, String> environment) {
+    SettingArguments scan = SettingArguments.scan(flags.specs(), arguments);
+    try {
+      JCommander.newBuilder().addObject(flags).build().parse(scan.kept());
+    } catch (ParameterException e) {
+      return Either.left(List.of(new SettingError("arguments", e.getMessage(), "--help")));
+    }
+    if (flags.help()) {
+      return Either.right(new SettingValues(Map.of()));
+    }
+    List<SettingError> errors = new ArrayList<>(scan.errors());
+    Map<String, String> values = values(flags, environment, errors, scan::isReported);
+    return errors.isEmpty() ? Either.right(new SettingValues(values)) : Either.left(errors);
+  }
+
   /**
    * Reads and checks every setting.
    *
@@ -21,12 +48,23 @@
   public static Either<List<SettingError>, SettingValues> read(
       SettingFlags flags, Map<String, String> environment) {
     List<SettingError> errors = new ArrayList<>();
+    Map<String, String> values = values(flags, environment, errors, spec -> false);
+    return errors.isEmpty() ? Either.right(new SettingValues(values)) : Either.left(errors);
+  }
+
+  private static Map<String, String> values(
+      SettingFlags flags,
+      Map<String, String> environment,
+      List<SettingError> errors,
+      Predicate<SettingSpec> reported) {
     Map<String, String> values = new HashMap<>();
     List<SettingSpec> specs = flags.specs();
     for (int i = 0; i < specs.size(); i++) {
-      readOne(specs.get(i), flags.given().get(i), environment, values, errors);
+      if (!reported.test(specs.get(i))) {
+        readOne(specs.get(i), flags.given().get(i), environment, values, errors);
+      }
     }
-    return errors.isEmpty() ? Either.right(new SettingValues(values)) : Either.left(errors);
+    return values;
   }
 
   private static void readOne(
@@ -36,20 +74,14 @@
       Map<String, String> values,
       List<SettingError> errors) {
     Optional<String> variable = Optional.ofNullable(environment.get(spec.variable()));
-    Optional<String> given = flag.or(() -> variable);
-    Optional<String> value = given.or(spec::defaultValue);
+    Optional<String> value = flag.or(() -> variable).or(spec::defaultValue);
     if (value.filter(spec::allows).isPresent()) {
       values.put(spec.name(), value.get());
       return;
     }
-    String source = source(spec, flag.isPresent(), variable.isPresent());
-    errors.add(new SettingError(spec, source, value.orElse("")));
-  }
-
-  private static String source(SettingSpec spec, boolean fromFlag, boolean fromVariable) {
-    if (fromFlag) {
-      return spec.flag();
-    }
-    return fromVariable ? spec.variable() : spec.flag() + " or " + spec.variable();
+    String source = flag.isPresent() ? " by the flag" : " by the variable";
+    String problem =
+        value.map(wrong -> "has the value '" + wrong + "'" + source).orElse("is missing");
+    errors.add(SettingError.of(spec, problem));
   }
 }
