--- a/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
+++ b/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
@@ -16,10 +16,11 @@
 import org.lavenderstage.bench.policy.ResultRow;
 import org.lavenderstage.bench.policy.Scenario;
 import org.lavenderstage.bench.request.RequestScenarios;
+import org.lavenderstage.bench.size.SizeCommand;
 import org.lavenderstage.bench.task.TaskScenarios;
 import org.lavenderstage.wire.codec.JsonCodec;
 
-/** The experiments: {@code bench policy} and {@code bench load}. */
+/** The experiments: {@code bench policy}, {@code bench load} and {@code bench size}. */
 public final class BenchCommand {
   private static final int USAGE_ERROR = 2;
 
@@ -39,9 +40,10 @@
     String[] rest = Arrays.copyOfRange(arguments, Math.min(1, arguments.length), arguments.length);
     return switch (kind) {
       case "policy" -> policy(rest, out, err);
+      case "size" -> SizeCommand.run(rest, out, err);
       case "load" -> LoadCommand.run(rest, System.getenv(), out, err);
       default -> {
-        err.println("usage: lavenderstage bench policy|load [flags]; each takes --help");
+        err.println("usage: lavenderstage bench policy|load|size [flags]; each takes --help");
         yield USAGE_ERROR;
       }
     };
--- /dev/null
+++ b/bench/src/main/java/org/lavenderstage/bench/size/package-info.java
@@ -0,0 +1,2 @@
+/** Bytes and times that docs/CAPACITY.md is worked out from. */
+package org.lavenderstage.bench.size;
