--- a/standin/src/main/java/org/lavenderstage/standin/log/FakeLog.java
+++ b/standin/src/main/java/org/lavenderstage/standin/log/FakeLog.java
@@ -17,6 +17,8 @@
 
 /** A log in memory with a retention, append times that never go back, and faults. */
 public final class FakeLog implements Log {
+  private static final long MAX_PAGE_BYTES = 4 * 1024 * 1024;
+
   private final Map<String, Stream> streams = new HashMap<>();
   private final LongSupplier clockMillis;
   private final long retentionMillis;
@@ -74,7 +76,7 @@
     awaitRecord(stream, fromOffset, until);
     stream.expire(now() - retentionMillis);
     int from = (int) Math.min(Math.max(0, fromOffset - stream.firstKept), stream.records.size());
-    int to = Math.min(stream.records.size(), from + max);
+    int to = stream.pageEnd(from, Math.min(stream.records.size(), from + max));
     List<StoredRecord> page = List.copyOf(stream.records.subList(from, to));
     return new LogPage(stream.firstKept, stream.end(), now(), page);
   }
@@ -119,6 +121,17 @@
       return firstKept + records.size();
     }
 
+    /** Ends a page before it grows too large, but not before its first record. */
+    private int pageEnd(int from, int max) {
+      int to = from;
+      long bytes = 0;
+      while (to < max && (to == from || bytes + records.get(to).bytes().length <= MAX_PAGE_BYTES)) {
+        bytes += records.get(to).bytes().length;
+        to++;
+      }
+      return to;
+    }
+
     private void expire(long beforeMillis) {
       int expired = 0;
       while (expired < records.size() && records.get(expired).appendTimeMillis() < beforeMillis) {
