--- a/core/src/test/java/org/lavenderstage/core/sheet/SheetLedgerPropertyTest.java
+++ b/core/src/test/java/org/lavenderstage/core/sheet/SheetLedgerPropertyTest.java
@@ -1,5 +1,6 @@
 package org.lavenderstage.core.sheet;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
@@ -27,6 +28,7 @@
   @Property(seed = "1", tries = 300)
   void racingOperatorsGetTheModelsVersions(@ForAll("histories") ActionChain<SheetRun> history) {
     history.run();
+    assertEquals(STEPS, history.transformations().size());
   }
 
   @Tag("fresh")
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -127,6 +127,7 @@
             metrics.registry());
     addresses = boundAddresses();
     addGauges();
+    EntryGauges.add(metrics, name, claimReplica, cells, budget, configSync);
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
