--- a/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
+++ b/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
@@ -17,10 +17,14 @@
 import org.lavenderstage.bench.policy.Scenario;
 import org.lavenderstage.bench.request.RequestScenarios;
 import org.lavenderstage.bench.size.SizeCommand;
+import org.lavenderstage.bench.speed.SpeedBench;
 import org.lavenderstage.bench.task.TaskScenarios;
 import org.lavenderstage.wire.codec.JsonCodec;
 
-/** The experiments: {@code bench policy}, {@code bench load} and {@code bench size}. */
+/**
+ * The experiments: {@code bench policy}, {@code bench core}, {@code bench load} and {@code bench
+ * size}.
+ */
 public final class BenchCommand {
   private static final int USAGE_ERROR = 2;
 
@@ -42,8 +46,9 @@
       case "policy" -> policy(rest, out, err);
       case "size" -> SizeCommand.run(rest, out, err);
       case "load" -> LoadCommand.run(rest, System.getenv(), out, err);
+      case "core" -> SpeedBench.run(rest, out, err);
       default -> {
-        err.println("usage: lavenderstage bench policy|load|size [flags]; each takes --help");
+        err.println("usage: lavenderstage bench policy|core|load|size [flags]; each takes --help");
         yield USAGE_ERROR;
       }
     };
--- a/core/src/main/java/org/lavenderstage/core/sheet/PendingSheets.java
+++ b/core/src/main/java/org/lavenderstage/core/sheet/PendingSheets.java
@@ -88,6 +88,27 @@
     return removed;
   }
 
+  /** Copies the parts in the order of their publications. */
+  List<SheetState.PendingPart> parts() {
+    List<SheetState.PendingPart> copy = new ArrayList<>();
+    bySheet.forEach(
+        (sheet, pending) ->
+            pending.parts.forEach(
+                (index, content) ->
+                    copy.add(
+                        new SheetState.PendingPart(sheet, index, content, pending.firstMillis))));
+    return copy;
+  }
+
+  /** Replaces all parts. */
+  void restore(List<SheetState.PendingPart> parts) {
+    bySheet.clear();
+    characters = 0;
+    for (SheetState.PendingPart part : parts) {
+      boolean unused = add(part.sheet(), part.index(), part.content(), part.firstMillis());
+    }
+  }
+
   int size() {
     return bySheet.size();
   }
--- a/core/src/main/java/org/lavenderstage/core/sheet/SheetHistory.java
+++ b/core/src/main/java/org/lavenderstage/core/sheet/SheetHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -55,6 +56,36 @@
     return Optional.of(lines);
   }
 
+  /** Copies the changes, the oldest first. */
+  List<SheetState.VersionChange> changes() {
+    return changes.stream()
+        .map(
+            change ->
+                new SheetState.VersionChange(
+                    change.version(),
+                    change.before().entrySet().stream()
+                        .map(
+                            row ->
+                                new SheetState.ReplacedRow(row.getKey(), row.getValue().orElse("")))
+                        .toList()))
+        .toList();
+  }
+
+  /** Replaces all changes. */
+  void restore(List<SheetState.VersionChange> kept) {
+    changes.clear();
+    rows = 0;
+    for (SheetState.VersionChange change : kept) {
+      Map<String, Optional<String>> before = new TreeMap<>();
+      change
+          .rows()
+          .forEach(
+              row ->
+                  before.put(row.key(), Optional.of(row.line()).filter(line -> !line.isEmpty())));
+      add(change.version(), before);
+    }
+  }
+
   /** The rows that one version replaced. */
   private record Change(long version, Map<String, Optional<String>> before) {}
 }
--- a/core/src/main/java/org/lavenderstage/core/sheet/SheetLedger.java
+++ b/core/src/main/java/org/lavenderstage/core/sheet/SheetLedger.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.FoldState;
 import org.lavenderstage.core.ledger.RecordPosition;
 import org.lavenderstage.core.ledger.StateDigest;
 import org.lavenderstage.core.record.LedgerRecord;
@@ -171,4 +172,29 @@
     }
     return cachedDigest.get();
   }
+
+  @Override
+  public SheetState snapshot() {
+    return new SheetState(
+        current,
+        pending.parts(),
+        history.changes(),
+        outcomes.entrySet().stream()
+            .map(known -> SheetState.CommitOutcome.of(known.getKey(), known.getValue()))
+            .toList());
+  }
+
+  @Override
+  public void restore(FoldState state) {
+    if (!(state instanceof SheetState kept)) {
+      throw new IllegalArgumentException("no state of the configuration: " + state.getClass());
+    }
+    current = kept.current();
+    rows = SheetText.parse(current.text()).orElse(new SheetText("", new TreeMap<>()));
+    pending.restore(kept.parts());
+    history.restore(kept.changes());
+    outcomes.clear();
+    kept.outcomes().forEach(known -> outcomes.put(known.sheet(), known.outcome()));
+    cachedDigest = Optional.empty();
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/sheet/SheetRefusal.java
+++ b/core/src/main/java/org/lavenderstage/core/sheet/SheetRefusal.java
@@ -50,6 +50,19 @@
       this.detail = detail;
     }
 
+    int number() {
+      return number;
+    }
+
+    static Code of(int number) {
+      for (Code code : values()) {
+        if (code.number == number) {
+          return code;
+        }
+      }
+      throw new IllegalArgumentException("no refusal of the number " + number);
+    }
+
     /**
      * Returns the code as it stands in messages and docs.
      *
--- a/core/src/test/java/org/lavenderstage/core/sheet/SheetLedgerPropertyTest.java
+++ b/core/src/test/java/org/lavenderstage/core/sheet/SheetLedgerPropertyTest.java
@@ -75,6 +75,7 @@
         .withAction(3, new Prepare())
         .withAction(2, new Part())
         .withAction(4, new Commit())
+        .withAction(1, new Restart())
         .withMaxTransformations(STEPS);
   }
 
@@ -113,6 +114,14 @@
     }
   }
 
+  /** A new process starts from a snapshot. */
+  private static final class Restart implements Action.Independent<SheetRun> {
+    @Override
+    public Arbitrary<Transformer<SheetRun>> transformer() {
+      return Arbitraries.just(Transformer.mutate("restart from a snapshot", SheetRun::restart));
+    }
+  }
+
   /** A commit arrives, with or without its parts, once or twice, in any order. */
   private static final class Commit implements Action.Independent<SheetRun> {
     @Override
--- a/core/src/test/java/org/lavenderstage/core/sheet/SheetRun.java
+++ b/core/src/test/java/org/lavenderstage/core/sheet/SheetRun.java
@@ -19,7 +19,8 @@
   private static final String HEADER = "kind,name,rank,service,batch-class,rule";
   private static final int PARTS = 3;
 
-  private final LedgerStream<SheetLedger> stream;
+  private final SheetMerge.Rule merge;
+  private LedgerStream<SheetLedger> stream;
   private final SheetModel model = new SheetModel();
   private final List<Publication> publications = new ArrayList<>();
   private long offset;
@@ -28,9 +29,18 @@
   private long lastSequence;
 
   SheetRun(SheetMerge.Rule merge) {
+    this.merge = merge;
     stream = new LedgerStream<>(new SheetLedger(merge));
   }
 
+  /** A new process starts from a snapshot and goes on. */
+  void restart() {
+    LedgerStream<SheetLedger> restarted = new LedgerStream<>(new SheetLedger(merge));
+    restarted.restore(stream.snapshot());
+    require(restarted.fold().digest().equals(stream.fold().digest()), "the restored state differs");
+    stream = restarted;
+  }
+
   /** An operator starts from a version and changes some rows; an empty value removes the row. */
   void prepare(int lag, Map<String, String> changes) {
     int base = Math.max(0, model.version() - lag);
--- a/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
+++ b/entry/src/main/java/org/lavenderstage/entry/config/Configuration.java
@@ -26,14 +26,19 @@
   public Configuration(StreamReplica<SheetLedger> replica) {
     this.replica = replica;
     replica.observe(this::judged);
+    replica.observeRestore(this::adoptCurrent);
   }
 
   private void judged(RecordPosition at, LedgerRecord record, boolean effective) {
     if (effective && record instanceof SheetCommitted) {
-      boolean unused = adopt(replica.read(stream -> stream.fold().current()));
+      adoptCurrent();
     }
   }
 
+  private void adoptCurrent() {
+    boolean unused = adopt(replica.read(stream -> stream.fold().current()));
+  }
+
   /**
    * Puts a version in force where it is newer than the present one.
    *
--- a/entry/src/test/java/org/lavenderstage/entry/config/ConfigurationTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/config/ConfigurationTest.java
@@ -60,6 +60,7 @@
     try (PeerServer server =
         new PeerServer(
             "127.0.0.1", 0, message -> Optional.of(peerSync.answer((SheetQuery) message)))) {
+      server.start();
       String address = "127.0.0.1:" + server.port();
       var member = new Member("peer", "vm", "a", address, 5, 0, "", false);
       try (ConfigurationSync sync = sync(configuration, List.of(member))) {
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -20,6 +20,12 @@
   LOG_APPEND_FAILED(2002),
   /** A record of the log cannot be read. */
   LOG_RECORD_MALFORMED(2003),
+  /** Records expired before they were read; a snapshot is looked for. */
+  LOG_GAP(2004),
+  /** A stream's state was taken from a snapshot or a peer. */
+  SNAPSHOT_RESTORED(2005),
+  /** A stream's state was written again. */
+  SNAPSHOT_WRITTEN(2006),
   /** A cell has a new owner. */
   CELL_CLAIMED(3001),
   /** A cell's owner gave it up. */
@@ -30,6 +36,10 @@
   TASK_ENDED(3004),
   /** A worker did not take a command. */
   WORKER_FAILED(3005),
+  /** A command to a worker was not sent, since its time had passed. */
+  COMMAND_EXPIRED(3100),
+  /** A job ended, since no worker can run it. */
+  JOB_REFUSED(3101),
   /** A sheet is in force. */
   SHEET_IN_FORCE(4001),
   /** A committed sheet cannot be read. */
--- a/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
@@ -2,4 +2,10 @@
 
 /** A message between two entries. */
 public sealed interface PeerMessage
-    permits AnswerQuery, AnswerReply, Heartbeat, SheetQuery, SheetReply {}
+    permits AnswerQuery,
+        AnswerReply,
+        Heartbeat,
+        SheetQuery,
+        SheetReply,
+        SnapshotQuery,
+        SnapshotReply {}
