--- a/ctl/src/main/java/org/lavenderstage/ctl/SheetPublisher.java
+++ b/ctl/src/main/java/org/lavenderstage/ctl/SheetPublisher.java
@@ -75,6 +75,10 @@
     LogPage page;
     do {
       page = log.read(STREAM, stream.nextOffset(), PAGE, Duration.ZERO);
+      if (page.firstKeptOffset() > stream.nextOffset()) {
+        stream.restore(new SnapshotStart(log, STREAM).find(page.firstKeptOffset()));
+        continue;
+      }
       page.records().forEach(this::apply);
     } while (stream.nextOffset() < page.endOffset());
     return stream.fold().current();
--- a/ctl/src/test/java/org/lavenderstage/ctl/LossyLog.java
+++ b/ctl/src/test/java/org/lavenderstage/ctl/LossyLog.java
@@ -14,6 +14,7 @@
   private int lostAfterEffect;
   private int lostBeforeEffect;
   private boolean readsFail;
+  private int firstKept;
 
   void loseAnswers(int afterEffect, int beforeEffect, boolean failReads) {
     lostAfterEffect = afterEffect;
@@ -21,6 +22,11 @@
     readsFail = failReads;
   }
 
+  /** Drops all records before an offset, as the end of their retention does. */
+  void expireBefore(int offset) {
+    firstKept = offset;
+  }
+
   int size() {
     return records.size();
   }
@@ -46,8 +52,9 @@
     if (readsFail) {
       throw new PlatformUnavailableException("read", null);
     }
-    int to = (int) Math.min(records.size(), fromOffset + max);
+    int from = (int) Math.max(firstKept, fromOffset);
+    int to = Math.min(records.size(), from + max);
     return new LogPage(
-        0, records.size(), records.size(), List.copyOf(records.subList((int) fromOffset, to)));
+        firstKept, records.size(), records.size(), List.copyOf(records.subList(from, to)));
   }
 }
--- a/ctl/src/test/java/org/lavenderstage/ctl/SheetPublisherTest.java
+++ b/ctl/src/test/java/org/lavenderstage/ctl/SheetPublisherTest.java
@@ -4,11 +4,22 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.ledger.LedgerStream;
+import org.lavenderstage.core.ledger.RecordPosition;
+import org.lavenderstage.core.record.RecordBatch;
+import org.lavenderstage.core.record.SnapshotCommitted;
+import org.lavenderstage.core.record.SnapshotPart;
+import org.lavenderstage.core.sheet.SheetLedger;
 import org.lavenderstage.core.sheet.SheetVersion;
 import org.lavenderstage.platform.PlatformUnavailableException;
+import org.lavenderstage.wire.codec.LedgerCodec;
+import org.lavenderstage.wire.codec.MalformedMessageException;
+import org.lavenderstage.wire.codec.StateCodec;
+import org.lavenderstage.wire.platform.StoredRecord;
 
 class SheetPublisherTest {
   private static final String BASE = "kind,name,rank,share\nclass,a,0,1\nclass,b,0,1\n";
@@ -80,6 +91,39 @@
     assertTrue(reasons.get(0).startsWith("LS-7021"), reasons.toString());
   }
 
+  @Test
+  void aPublisherStartsFromASnapshotWhereTheFirstRecordsAreGone()
+      throws PlatformUnavailableException {
+    publish(BASE, 0);
+    int kept = log.size();
+    LedgerStream<SheetLedger> stream = new LedgerStream<>(new SheetLedger());
+    for (StoredRecord record : log.read("config", 0, kept, Duration.ZERO).records()) {
+      RecordPosition at = new RecordPosition(record.offset(), record.appendTimeMillis());
+      stream.apply(at, decode(record), (place, judged, effective) -> {});
+    }
+    byte[] state = StateCodec.encode(stream.snapshot());
+    RecordBatch snapshot =
+        RecordBatch.of(
+            "entry",
+            1,
+            List.of(
+                new SnapshotPart("snapshot", 0, state),
+                new SnapshotCommitted("snapshot", 1, kept - 1, stream.fold().digest())));
+    log.append("config", LedgerCodec.encode(snapshot));
+    log.expireBefore(kept);
+    assertEquals(2, publish(BASE.replace("class,a,0", "class,a,7"), 1).version());
+    log.expireBefore(kept + 1);
+    assertThrows(PlatformUnavailableException.class, () -> new SheetPublisher(log).current());
+  }
+
+  private static RecordBatch decode(StoredRecord record) {
+    try {
+      return LedgerCodec.decode(record.bytes());
+    } catch (MalformedMessageException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   private SheetVersion publish(String text, long base) throws PlatformUnavailableException {
     return new SheetPublisher(log).publish(text, base, "operator").get();
   }
