--- a/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
+++ b/bench/src/main/java/org/lavenderstage/bench/BenchCommand.java
@@ -11,15 +11,20 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
+import org.lavenderstage.bench.load.LoadCommand;
 import org.lavenderstage.bench.policy.PolicyBench;
 import org.lavenderstage.bench.policy.ResultRow;
 import org.lavenderstage.bench.policy.Scenario;
 import org.lavenderstage.bench.request.RequestScenarios;
+import org.lavenderstage.bench.size.SizeCommand;
 import org.lavenderstage.bench.speed.SpeedBench;
 import org.lavenderstage.bench.task.TaskScenarios;
 import org.lavenderstage.wire.codec.JsonCodec;
 
-/** The experiments: {@code bench policy} and {@code bench core}. */
+/**
+ * The experiments: {@code bench policy}, {@code bench core}, {@code bench load} and {@code bench
+ * size}.
+ */
 public final class BenchCommand {
   private static final int USAGE_ERROR = 2;
 
@@ -39,9 +44,11 @@
     String[] rest = Arrays.copyOfRange(arguments, Math.min(1, arguments.length), arguments.length);
     return switch (kind) {
       case "policy" -> policy(rest, out, err);
+      case "size" -> SizeCommand.run(rest, out, err);
+      case "load" -> LoadCommand.run(rest, System.getenv(), out, err);
       case "core" -> SpeedBench.run(rest, out, err);
       default -> {
-        err.println("usage: lavenderstage bench policy|core [flags]");
+        err.println("usage: lavenderstage bench policy|core|load|size [flags]; each takes --help");
         yield USAGE_ERROR;
       }
     };
--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -25,6 +25,8 @@
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.admin.StateDump;
 import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.config.ConfigurationSync;
+import org.lavenderstage.entry.config.WatchedLog;
 import org.lavenderstage.entry.dispatch.DispatchParts;
 import org.lavenderstage.entry.dispatch.Dispatcher;
 import org.lavenderstage.entry.log.AppendBudget;
@@ -49,7 +51,9 @@
 import org.lavenderstage.wire.peer.AnswerQuery;
 import org.lavenderstage.wire.peer.Heartbeat;
 import org.lavenderstage.wire.peer.PeerMessage;
+import org.lavenderstage.wire.peer.SheetQuery;
 import org.lavenderstage.wire.peer.SnapshotQuery;
+import org.lavenderstage.wire.platform.VmRole;
 import org.lavenderstage.wire.settings.EntrySettings;
 
 /** One entry: all its duties and ports, as a library; the daemon is a thin shell around it. */
@@ -69,8 +73,10 @@
   private final List<StreamAppender> appenders = new ArrayList<>();
   private final StreamReplica<SheetLedger> configReplica;
   private final Configuration configuration;
+  private final ConfigurationSync configSync;
   private final VmDirectory directory;
   private final Membership membership;
+  private final AppendBudget budget;
   private final PeerServer peerServer;
   private final PlatformClients clients;
   private final Dispatcher dispatcher;
@@ -110,11 +116,20 @@
     Log log = clients.log();
     directory = new VmDirectory(clients.vmList(), VM_LIST_POLL_MILLIS);
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
-    configReplica = replica(CONFIG_STREAM, log, new SheetLedger());
+    WatchedLog configLog = new WatchedLog(log);
+    configReplica = replica(CONFIG_STREAM, configLog, new SheetLedger());
     configuration = new Configuration(configReplica);
     SlotBoard board = new SlotBoard();
     membership = new Membership(this::self, directory, board, settings.heartbeatMillis());
-    AppendBudget budget =
+    configSync =
+        new ConfigurationSync(
+            configuration,
+            configReplica,
+            configLog,
+            membership::live,
+            this::otherEntries,
+            settings.configStaleMillis());
+    budget =
         new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
     appender(configReplica, log, budget);
     claimWindow =
@@ -147,14 +162,17 @@
             new InetSocketAddress(settings.host(), settings.adminPort()),
             this::isReady,
             this::dump,
+            this::drain,
             metrics.registry());
     addresses = boundAddresses();
     addGauges();
+    EntryGauges.add(metrics, name, claimReplica, cells, budget, configSync);
     peerServer.start();
     replicas.forEach(StreamReplica::start);
     directory.start();
     membership.start();
     claims.start();
+    configSync.start();
     owners.forEach(CellOwner::start);
     recovery.start();
     snapshots.start();
@@ -280,12 +298,22 @@
         draining);
   }
 
+  private int otherEntries() {
+    String me = settings.host() + ":" + peerServer.port();
+    return (int)
+        directory.vms(VmRole.ENTRY).stream()
+            .filter(vm -> !vm.leaving() && !vm.address().equals(me))
+            .count();
+  }
+
   private Optional<PeerMessage> handlePeer(PeerMessage message) {
     return switch (message) {
       case Heartbeat heartbeat -> {
         membership.heard(heartbeat);
+        configSync.heard(heartbeat);
         yield Optional.empty();
       }
+      case SheetQuery query -> Optional.of(configSync.answer(query));
       case SnapshotQuery query -> Optional.of(recovery.answer(query));
       case AnswerQuery query -> Optional.of(claims.answer(query));
       default -> dispatcher.handlePeer(message);
@@ -306,6 +334,7 @@
     return !draining
         && directory.isKnown()
         && dispatcher.isReady()
+        && configSync.isCurrent()
         && replicas.stream().allMatch(StreamReplica::isCaughtUp);
   }
 
@@ -327,11 +356,16 @@
     return new StateDump(
         name,
         settings.vm(),
+        settings.domain(),
         isReady(),
+        draining,
         configuration.inForce().version(),
+        configSync.dump(),
         replicas.stream().map(Entry::dump).toList(),
         cells.stream().map(Entry::dump).toList(),
         membership.live(),
+        directory.vms(),
+        budget.tokens(),
         dispatcher.queued(),
         dispatcher.inFlight());
   }
@@ -343,6 +377,7 @@
                 replica.stream(),
                 stream.nextOffset(),
                 stream.fold().digest(),
+                replica.lag(),
                 replica.isReachable(),
                 stream.duplicateBatches(),
                 stream.unknownRecords(),
@@ -364,6 +399,13 @@
             });
   }
 
+  /** Turns unready and gives the cells up, so that the process can be stopped once it is idle. */
+  public void drain() {
+    draining = true;
+    EventLog.info(LogEvent.DRAIN_REQUESTED, "entry", name);
+    owners.forEach(CellOwner::drain);
+  }
+
   /** Stops gracefully: takes no new work, answers what is in flight and gives its cells up. */
   @Override
   public void close() {
@@ -402,6 +444,7 @@
   }
 
   private void closeNow() {
+    configSync.close();
     snapshots.close();
     recovery.close();
     membership.close();
--- a/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
+++ b/wire/src/main/java/org/lavenderstage/wire/peer/PeerMessage.java
@@ -5,6 +5,8 @@
     permits AnswerQuery,
         AnswerReply,
         Heartbeat,
+        SheetQuery,
+        SheetReply,
         SlotAsk,
         SlotGrant,
         SlotReturn,
