Wait longer for a worker that may hold the checkpoint of an eviction

The silence outlasted the worker lease, the owner concluded the lapse and resumed from the state before. It now waits three worker leases more after a checkpoint command. Ruled out: exempting the pair in the check; waiting the same for a worker that is merely silent, which would hold up the jobs of every dead worker.

--- a/core/src/main/java/org/lavenderstage/core/task/SupervisedAttempt.java
+++ b/core/src/main/java/org/lavenderstage/core/task/SupervisedAttempt.java
@@ -11,6 +11,7 @@
   private static final long RETRY_MILLIS = 50;
   private static final long LOST_RETRY_MILLIS = 500;
   private static final long PROPOSAL_MILLIS = 500;
+  private static final long CHECKPOINT_LEASES = 3;
 
   /** The end of an attempt, as it is proposed. */
   record End(EndReason reason, String checkpoint) {}
@@ -22,6 +23,7 @@
   private boolean started;
   private boolean inFlight;
   private boolean evicted;
+  private boolean checkpointSent;
   private boolean throttled;
   private boolean throttleWanted;
   private boolean givenUp;
@@ -71,12 +73,20 @@
       ended(EndReason.NOT_FOUND, "");
     }
     long lapsedMillis =
-        lastLeaseNotAfterMillis + settings.workerLeaseMillis() + settings.doubleSkewMillis();
+        lastLeaseNotAfterMillis
+            + settings.workerLeaseMillis()
+            + settings.doubleSkewMillis()
+            + checkpointWaitMillis();
     if (end.isEmpty() && placedByOwner && lastLeaseNotAfterMillis > 0 && nowMillis > lapsedMillis) {
       end = Optional.of(new End(EndReason.LEASE_LAPSED, ""));
     }
   }
 
+  /** Waits longer for a worker that may hold the checkpoint of an eviction. */
+  private long checkpointWaitMillis() {
+    return evicted && checkpointSent ? CHECKPOINT_LEASES * settings.workerLeaseMillis() : 0;
+  }
+
   /** Chooses the next command, where one is due. */
   Optional<CommandVerb> next(boolean cancelled, long nowMillis) {
     if (inFlight || end.isPresent()) {
@@ -129,7 +139,8 @@
       }
       case RENEW ->
           lastLeaseNotAfterMillis = Math.max(lastLeaseNotAfterMillis, command.notAfterMillis());
-      case STOP, CHECKPOINT, THROTTLE, UNTHROTTLE -> {
+      case CHECKPOINT -> checkpointSent = true;
+      case STOP, THROTTLE, UNTHROTTLE -> {
         // these give the task no more time
       }
     }
--- a/entry/src/test/java/org/lavenderstage/entry/task/TaskFaultFuzzTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/task/TaskFaultFuzzTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -30,6 +31,19 @@
     check(schedule);
   }
 
+  @Example
+  void aCheckpointIsResumedThoughItsAnswerIsLostAndItsWorkerCutOff() {
+    check(
+        List.of(
+            new Scheduled(46, Fault.WORKER_ANSWERS_LOST, 0),
+            new Scheduled(83, Fault.WORKER_CUT_BRIEFLY, 0)));
+    check(
+        List.of(
+            new Scheduled(2, Fault.OWNER_KILLED_BEFORE, 0),
+            new Scheduled(90, Fault.WORKER_ANSWERS_LOST, 0),
+            new Scheduled(127, Fault.WORKER_CUT_BRIEFLY, 0)));
+  }
+
   @Provide
   Arbitrary<List<Scheduled>> schedules() {
     Arbitrary<Fault> faults =
