--- a/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
+++ b/core/src/main/java/org/lavenderstage/core/admission/AdmissionControl.java
@@ -17,10 +17,14 @@
   private static final long BOOKED_WINDOW_NANOS = 200_000_000;
   private static final int BOOKS_KEPT = 1024;
   private static final double WAIT_PART = 0.1;
+  private static final double BURST_WAIT_PART = 0.5;
+  private static final long BURST_NANOS = 1_000_000_000;
 
   private final AdmissionQueue<T> queue;
   private final ServiceTimes times = new ServiceTimes();
   private final Map<String, ReturnBook> books = new HashMap<>();
+  private boolean seenEmpty;
+  private long emptyAt;
 
   /**
    * Makes an empty queue with its control.
@@ -52,7 +56,7 @@
     }
     double wait = Math.max(0, ahead + 1 - freeSlots) * perRequest;
     double spare = waiting.deadlineNanos() - now - times.meanNanos();
-    double allowed = waiting.returning() ? spare : spare * WAIT_PART;
+    double allowed = waiting.returning() ? spare : spare * waitPart(now);
     if (wait > allowed) {
       return refused(AdmissionDecision.Reason.DEADLINE_HOPELESS, waiting, wait, perRequest, now);
     }
@@ -62,6 +66,15 @@
     return new AdmissionDecision.Admitted();
   }
 
+  /** A queue that was empty a short time ago holds a burst; one that was not is overloaded. */
+  private double waitPart(long now) {
+    if (queue.size() == 0 || !seenEmpty) {
+      seenEmpty = true;
+      emptyAt = now;
+    }
+    return now - emptyAt < BURST_NANOS ? BURST_WAIT_PART : WAIT_PART;
+  }
+
   private AdmissionDecision refused(
       AdmissionDecision.Reason reason,
       Waiting<T> waiting,
