--- a/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
@@ -25,6 +25,7 @@
 import org.lavenderstage.core.record.RecordBatch;
 import org.lavenderstage.core.record.SheetCommitted;
 import org.lavenderstage.core.record.SheetPart;
+import org.lavenderstage.core.sheet.SheetText;
 import org.lavenderstage.entry.Entry;
 import org.lavenderstage.platform.Headers;
 import org.lavenderstage.platform.PlatformUnavailableException;
@@ -37,6 +38,7 @@
 import org.lavenderstage.wire.codec.JsonCodec;
 import org.lavenderstage.wire.codec.LedgerCodec;
 import org.lavenderstage.wire.codec.MalformedMessageException;
+import org.lavenderstage.wire.csv.SheetReader;
 import org.lavenderstage.wire.http.ResultBody;
 import org.lavenderstage.wire.platform.VmEntry;
 import org.lavenderstage.wire.platform.VmRole;
@@ -93,10 +95,11 @@
 
   private static void publish() throws PlatformUnavailableException {
     HttpLog client = new HttpLog(log.address(), Duration.ofSeconds(5));
+    String text = SheetText.of(SheetReader.read(SHEET).sheet().orElseThrow()).text();
     List<LedgerRecord> records =
         List.of(
-            new SheetPart("s", 0, SHEET),
-            new SheetCommitted("s", 1, StateDigest.sha256Hex(SHEET), 0, "operator"));
+            new SheetPart("s", 0, text),
+            new SheetCommitted("s", 1, StateDigest.sha256Hex(text), 0, "operator"));
     client.append(Entry.CONFIG_STREAM, LedgerCodec.encode(RecordBatch.of("ctl", 1, records)));
   }
 
