--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -14,7 +14,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.lavenderstage.core.ledger.Fold;
 import org.lavenderstage.core.ledger.cell.CellLedger;
 import org.lavenderstage.core.ledger.claim.ClaimLedger;
 import org.lavenderstage.core.ledger.claim.ClaimWindow;
@@ -24,14 +23,13 @@
 import org.lavenderstage.entry.admin.AdminServer;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.admin.StateDump;
+import org.lavenderstage.entry.admin.StateDumps;
 import org.lavenderstage.entry.config.Configuration;
 import org.lavenderstage.entry.config.ConfigurationSync;
 import org.lavenderstage.entry.config.WatchedLog;
 import org.lavenderstage.entry.dispatch.DispatchParts;
 import org.lavenderstage.entry.dispatch.Dispatcher;
-import org.lavenderstage.entry.log.AppendBudget;
 import org.lavenderstage.entry.log.SnapshotWriter;
-import org.lavenderstage.entry.log.StreamAppender;
 import org.lavenderstage.entry.log.StreamReplica;
 import org.lavenderstage.entry.peer.Membership;
 import org.lavenderstage.entry.peer.PeerRecovery;
@@ -45,7 +43,6 @@
 import org.lavenderstage.entry.task.JobDesk;
 import org.lavenderstage.entry.task.JobService;
 import org.lavenderstage.entry.vm.VmDirectory;
-import org.lavenderstage.platform.Log;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.peer.AnswerQuery;
@@ -69,14 +66,12 @@
 
   private final EntrySettings settings;
   private final String name;
-  private final List<StreamReplica<?>> replicas = new ArrayList<>();
-  private final List<StreamAppender> appenders = new ArrayList<>();
+  private final EntryStreams streams;
   private final StreamReplica<SheetLedger> configReplica;
   private final Configuration configuration;
   private final ConfigurationSync configSync;
   private final VmDirectory directory;
   private final Membership membership;
-  private final AppendBudget budget;
   private final PeerServer peerServer;
   private final PlatformClients clients;
   private final Dispatcher dispatcher;
@@ -89,7 +84,6 @@
   private final Server server;
   private final AdminServer adminServer;
   private final EntryAddresses addresses;
-  private final List<SnapshotWriter.SnapshotStream> snapshotStreams = new ArrayList<>();
   private final SnapshotWriter snapshots;
   private final PeerRecovery recovery;
   private volatile boolean draining;
@@ -113,50 +107,35 @@
     this.settings = settings;
     this.clients = clients;
     this.name = settings.vm() + "-" + UUID.randomUUID();
-    Log log = clients.log();
     directory = new VmDirectory(clients.vmList(), VM_LIST_POLL_MILLIS);
     peerServer = new PeerServer(settings.host(), settings.peerPort(), this::handlePeer);
-    WatchedLog configLog = new WatchedLog(log);
-    configReplica = replica(CONFIG_STREAM, configLog, new SheetLedger());
+    streams = new EntryStreams(name, settings, clients.log(), this::liveEntries);
+    WatchedLog configLog = new WatchedLog(clients.log());
+    configReplica = streams.replica(CONFIG_STREAM, configLog, new SheetLedger());
+    streams.appender(configReplica);
     configuration = new Configuration(configReplica);
     SlotBoard board = new SlotBoard();
     membership = new Membership(this::self, directory, board, settings.heartbeatMillis());
-    configSync =
-        new ConfigurationSync(
-            configuration,
-            configReplica,
-            configLog,
-            membership::live,
-            this::otherEntries,
-            settings.configStaleMillis());
-    budget =
-        new AppendBudget(settings.appendBudget(), () -> membership.live().size(), System::nanoTime);
-    appender(configReplica, log, budget);
+    configSync = configurationSync(configLog);
     claimWindow =
         new ClaimWindow(
             settings.claimWindowMillis(), settings.claimAheadMillis(), settings.clockSkewMillis());
-    claimReplica = replica(CLAIM_STREAM, log, new ClaimLedger(claimWindow, settings.claimLimit()));
+    claimReplica =
+        streams.replica(
+            CLAIM_STREAM, clients.log(), new ClaimLedger(claimWindow, settings.claimLimit()));
     dispatcher = new Dispatcher(clients.executors(), dispatchParts(board), settings.ringSize());
-    claims =
-        new ClaimDesk(
-            name,
-            settings,
-            claimReplica,
-            appender(claimReplica, log, budget),
-            dispatcher::submit,
-            this::peerAddress);
+    claims = claimDesk();
     for (String cell : settings.cells().split(",", -1)) {
-      addCell(cell.strip(), clients, budget);
+      addCell(cell.strip());
     }
     snapshots =
         new SnapshotWriter(
-            snapshotStreams,
+            streams.snapshotStreams(),
             settings.logRetentionMillis(),
             settings.snapshotRecords(),
             this::isFirst);
-    recovery = new PeerRecovery(settings.host() + ":" + peerServer.port(), directory, replicas);
-    JobDesk desk = new JobDesk(cells, settings.claimWaitMillis());
-    server = startServer(desk);
+    recovery = new PeerRecovery(peerAddress(), directory, streams.replicas());
+    server = startServer(new JobDesk(cells, settings.claimWaitMillis()));
     adminServer =
         new AdminServer(
             new InetSocketAddress(settings.host(), settings.adminPort()),
@@ -166,9 +145,34 @@
             metrics.registry());
     addresses = boundAddresses();
     addGauges();
-    EntryGauges.add(metrics, name, claimReplica, cells, budget, configSync);
+    startDuties();
+    EventLog.info(
+        LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
+  }
+
+  private ConfigurationSync configurationSync(WatchedLog configLog) {
+    return new ConfigurationSync(
+        configuration,
+        configReplica,
+        configLog,
+        membership::live,
+        this::otherEntries,
+        settings.configStaleMillis());
+  }
+
+  private ClaimDesk claimDesk() {
+    return new ClaimDesk(
+        name,
+        settings,
+        claimReplica,
+        streams.appender(claimReplica),
+        dispatcher::submit,
+        this::peerAddress);
+  }
+
+  private void startDuties() {
     peerServer.start();
-    replicas.forEach(StreamReplica::start);
+    streams.start();
     directory.start();
     membership.start();
     claims.start();
@@ -176,8 +180,14 @@
     owners.forEach(CellOwner::start);
     recovery.start();
     snapshots.start();
-    EventLog.info(
-        LogEvent.ENTRY_STARTED, "entry", name, "http", addresses.http(), "peer", addresses.peer());
+  }
+
+  private int liveEntries() {
+    return membership.live().size();
+  }
+
+  private String peerAddress() {
+    return settings.host() + ":" + peerServer.port();
   }
 
   private DispatchParts dispatchParts(SlotBoard board) {
@@ -190,26 +200,13 @@
         settings.vm(), name, directory, board, membership::peerAddress, timing, longest);
   }
 
-  private <F extends Fold> StreamReplica<F> replica(String stream, Log log, F fold) {
-    StreamReplica<F> replica = new StreamReplica<>(stream, log, fold);
-    replicas.add(replica);
-    return replica;
-  }
-
-  private StreamAppender appender(StreamReplica<?> replica, Log log, AppendBudget budget) {
-    StreamAppender appender = new StreamAppender(name, replica, log, budget, settings.ringSize());
-    appenders.add(appender);
-    snapshotStreams.add(new SnapshotWriter.SnapshotStream(replica, appender));
-    return appender;
-  }
-
-  private void addCell(String cellName, PlatformClients clients, AppendBudget budget) {
+  private void addCell(String cellName) {
     StreamReplica<CellLedger> replica =
-        replica(
+        streams.replica(
             Cell.streamName(cellName), clients.log(), new CellLedger(settings.clockSkewMillis()));
-    Cell cell = new Cell(cellName, replica, appender(replica, clients.log(), budget));
-    cells.add(cell);
-    owners.add(new CellOwner(name, settings, cell, directory, clients.workers()));
+    cells.add(new Cell(cellName, replica, streams.appender(replica)));
+    owners.add(
+        new CellOwner(name, settings, cells.get(cells.size() - 1), directory, clients.workers()));
   }
 
   private Server startServer(JobDesk desk) {
@@ -266,7 +263,7 @@
     return new EntryAddresses(
         settings.host() + ":" + server.activeLocalPort(),
         settings.host() + ":" + adminServer.port(),
-        settings.host() + ":" + peerServer.port());
+        peerAddress());
   }
 
   private void addGauges() {
@@ -279,11 +276,12 @@
     metrics.gauge(
         "lavenderstage_inflight_requests", "Requests at executors.", () -> dispatcher.inFlight());
     metrics.gauge("lavenderstage_open_claims", "Claims under way.", () -> claims.openKeys());
-    metrics.gauge("lavenderstage_live_entries", "Live entries.", () -> membership.live().size());
+    metrics.gauge("lavenderstage_live_entries", "Live entries.", this::liveEntries);
     metrics.gauge(
         "lavenderstage_log_lag_records",
         "Records that the log holds beyond this entry's copies.",
-        () -> replicas.stream().mapToLong(StreamReplica::lag).sum());
+        streams::lag);
+    EntryGauges.add(metrics, name, claimReplica, cells, streams.budget(), configSync);
   }
 
   private Member self() {
@@ -291,7 +289,7 @@
         name,
         settings.vm(),
         settings.domain(),
-        settings.host() + ":" + peerServer.port(),
+        peerAddress(),
         configuration.inForce().version(),
         configReplica.read(stream -> stream.nextOffset()),
         configReplica.read(stream -> stream.fold().digest()),
@@ -299,7 +297,7 @@
   }
 
   private int otherEntries() {
-    String me = settings.host() + ":" + peerServer.port();
+    String me = peerAddress();
     return (int)
         directory.vms(VmRole.ENTRY).stream()
             .filter(vm -> !vm.leaving() && !vm.address().equals(me))
@@ -335,7 +333,7 @@
         && directory.isKnown()
         && dispatcher.isReady()
         && configSync.isCurrent()
-        && replicas.stream().allMatch(StreamReplica::isCaughtUp);
+        && streams.isCaughtUp();
   }
 
   /**
@@ -361,44 +359,15 @@
         draining,
         configuration.inForce().version(),
         configSync.dump(),
-        replicas.stream().map(Entry::dump).toList(),
-        cells.stream().map(Entry::dump).toList(),
+        streams.dump(),
+        cells.stream().map(StateDumps::of).toList(),
         membership.live(),
         directory.vms(),
-        budget.tokens(),
+        streams.budget().tokens(),
         dispatcher.queued(),
         dispatcher.inFlight());
   }
 
-  private static <F extends Fold> StateDump.StreamDump dump(StreamReplica<F> replica) {
-    return replica.read(
-        stream ->
-            new StateDump.StreamDump(
-                replica.stream(),
-                stream.nextOffset(),
-                stream.fold().digest(),
-                replica.lag(),
-                replica.isReachable(),
-                stream.duplicateBatches(),
-                stream.unknownRecords(),
-                stream.invalidRecords()));
-  }
-
-  private static StateDump.CellDump dump(Cell cell) {
-    return cell.replica()
-        .read(
-            stream -> {
-              CellLedger ledger = stream.fold();
-              return new StateDump.CellDump(
-                  cell.name(),
-                  ledger.ownership().owner().orElse(""),
-                  ledger.ownership().epoch(),
-                  ledger.workers().size(),
-                  ledger.jobs().size(),
-                  ledger.placedJobs().size());
-            });
-  }
-
   /** Turns unready and gives the cells up, so that the process can be stopped once it is idle. */
   public void drain() {
     draining = true;
@@ -452,8 +421,7 @@
     directory.close();
     dispatcher.close();
     clients.close();
-    appenders.forEach(StreamAppender::close);
-    replicas.forEach(StreamReplica::close);
+    streams.close();
     peerServer.close();
     adminServer.close();
   }
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/EntryStreams.java
@@ -0,0 +1,85 @@
+package org.lavenderstage.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.entry.admin.StateDump;
+import org.lavenderstage.entry.admin.StateDumps;
+import org.lavenderstage.entry.log.AppendBudget;
+import org.lavenderstage.entry.log.SnapshotWriter;
+import org.lavenderstage.entry.log.StreamAppender;
+import org.lavenderstage.entry.log.StreamReplica;
+import org.lavenderstage.platform.Log;
+import org.lavenderstage.wire.settings.EntrySettings;
+
+/** The streams of one entry: its copies of them and its appends, under one budget. */
+final class EntryStreams implements AutoCloseable {
+  private final String entry;
+  private final EntrySettings settings;
+  private final Log log;
+  private final AppendBudget budget;
+  private final List<StreamReplica<?>> replicas = new ArrayList<>();
+  private final List<SnapshotWriter.SnapshotStream> snapshotStreams = new ArrayList<>();
+
+  EntryStreams(String entry, EntrySettings settings, Log log, IntSupplier liveEntries) {
+    this.entry = entry;
+    this.settings = settings;
+    this.log = log;
+    this.budget = new AppendBudget(settings.appendBudget(), liveEntries, System::nanoTime);
+  }
+
+  /** Makes a copy that does not read yet. */
+  <F extends Fold> StreamReplica<F> replica(String stream, Log readFrom, F fold) {
+    StreamReplica<F> replica = new StreamReplica<>(stream, readFrom, fold);
+    replicas.add(replica);
+    return replica;
+  }
+
+  /**
+   * Makes the appender of a copy's stream; the stream is written again as snapshots from then on.
+   */
+  StreamAppender appender(StreamReplica<?> replica) {
+    StreamAppender appender = new StreamAppender(entry, replica, log, budget, settings.ringSize());
+    snapshotStreams.add(new SnapshotWriter.SnapshotStream(replica, appender));
+    return appender;
+  }
+
+  void start() {
+    replicas.forEach(StreamReplica::start);
+  }
+
+  List<StreamReplica<?>> replicas() {
+    return List.copyOf(replicas);
+  }
+
+  List<SnapshotWriter.SnapshotStream> snapshotStreams() {
+    return List.copyOf(snapshotStreams);
+  }
+
+  AppendBudget budget() {
+    return budget;
+  }
+
+  /** Tells whether every copy has reached the end of its stream. */
+  boolean isCaughtUp() {
+    return replicas.stream().allMatch(StreamReplica::isCaughtUp);
+  }
+
+  /** Counts the records that the log holds beyond the copies. */
+  long lag() {
+    return replicas.stream().mapToLong(StreamReplica::lag).sum();
+  }
+
+  List<StateDump.StreamDump> dump() {
+    List<StateDump.StreamDump> dumps = new ArrayList<>();
+    replicas.forEach(replica -> dumps.add(StateDumps.of(replica)));
+    return dumps;
+  }
+
+  @Override
+  public void close() {
+    snapshotStreams.forEach(stream -> stream.appender().close());
+    replicas.forEach(StreamReplica::close);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/admin/StateDumps.java
@@ -0,0 +1,53 @@
+package org.lavenderstage.entry.admin;
+
+import org.lavenderstage.core.ledger.Fold;
+import org.lavenderstage.core.ledger.cell.CellLedger;
+import org.lavenderstage.entry.log.StreamReplica;
+import org.lavenderstage.entry.task.Cell;
+
+/** Makes the parts of the state dump that are read from the streams. */
+public final class StateDumps {
+  private StateDumps() {}
+
+  /**
+   * Dumps one copy of a stream.
+   *
+   * @param replica the copy
+   * @param <F> type of its fold
+   * @return the dump
+   */
+  public static <F extends Fold> StateDump.StreamDump of(StreamReplica<F> replica) {
+    return replica.read(
+        stream ->
+            new StateDump.StreamDump(
+                replica.stream(),
+                stream.nextOffset(),
+                stream.fold().digest(),
+                replica.lag(),
+                replica.isReachable(),
+                stream.duplicateBatches(),
+                stream.unknownRecords(),
+                stream.invalidRecords()));
+  }
+
+  /**
+   * Dumps one cell.
+   *
+   * @param cell the cell
+   * @return the dump
+   */
+  public static StateDump.CellDump of(Cell cell) {
+    return cell.replica()
+        .read(
+            stream -> {
+              CellLedger ledger = stream.fold();
+              return new StateDump.CellDump(
+                  cell.name(),
+                  ledger.ownership().owner().orElse(""),
+                  ledger.ownership().epoch(),
+                  ledger.workers().size(),
+                  ledger.jobs().size(),
+                  ledger.placedJobs().size());
+            });
+  }
+}
