Plan cells by the adaptive planner, and let the demo's callers pass over unready entries

Reports of workers do not reach the planner yet: they lack latency for each service.

Part of what was not accepted went to entries that said they were unready, which the platform's balancer passes over.

--- a/entry/src/main/java/org/lavenderstage/entry/Entry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/Entry.java
@@ -206,7 +206,13 @@
             Cell.streamName(cellName), clients.log(), new CellLedger(settings.clockSkewMillis()));
     cells.add(new Cell(cellName, replica, streams.appender(replica)));
     owners.add(
-        new CellOwner(name, settings, cells.get(cells.size() - 1), directory, clients.workers()));
+        new CellOwner(
+            name,
+            settings,
+            cells.get(cells.size() - 1),
+            directory,
+            configuration,
+            clients.workers()));
   }
 
   private Server startServer(JobDesk desk) {
--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
@@ -72,6 +72,9 @@
       reachable = true;
       take(page);
     } catch (PlatformUnavailableException e) {
+      if (Thread.currentThread().isInterrupted()) {
+        return;
+      }
       if (reachable) {
         EventLog.warn(LogEvent.LOG_READ_FAILED, "stream", stream, "cause", e.getMessage());
       }
--- a/entry/src/main/java/org/lavenderstage/entry/task/CellOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/task/CellOwner.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.lavenderstage.core.placement.BestFitPlanner;
+import org.lavenderstage.core.ledger.RecordPosition;
+import org.lavenderstage.core.placement.AdaptivePlanner;
+import org.lavenderstage.core.placement.ProtectionPolicy;
 import org.lavenderstage.core.record.AttemptEnded;
 import org.lavenderstage.core.record.CellReleased;
 import org.lavenderstage.core.record.JobRefused;
@@ -15,6 +17,8 @@
 import org.lavenderstage.core.task.OwnerInput;
 import org.lavenderstage.core.task.OwnerSettings;
 import org.lavenderstage.core.task.WorkerAnswer;
+import org.lavenderstage.entry.config.Configuration;
+import org.lavenderstage.entry.config.SheetInForce;
 import org.lavenderstage.entry.duty.BoundedRing;
 import org.lavenderstage.entry.duty.Duty;
 import org.lavenderstage.entry.vm.VmDirectory;
@@ -34,15 +38,20 @@
   private static final long RELEASE_MILLIS = 1000;
   private static final long RING_FULL_NANOS = 1_000_000;
   private static final int MAX_PLACEMENTS = 100;
+  private static final long NO_VERSION = -1;
   private static final long NO_EPOCH = 0;
 
   private final Cell cell;
   private final VmDirectory directory;
+  private final Configuration configuration;
+  private final AdaptivePlanner planner =
+      new AdaptivePlanner(ProtectionPolicy.GRADED, MAX_PLACEMENTS);
   private final CellOwnerLogic logic;
   private final WorkerCommands commands;
   private final BoundedRing<WorkerAnswer> answers;
   private volatile boolean draining;
   private volatile long ownedEpoch = NO_EPOCH;
+  private long plannedVersion = NO_VERSION;
   private Duty duty;
 
   /**
@@ -52,6 +61,7 @@
    * @param settings leases and times
    * @param cell the cell
    * @param directory names the workers
+   * @param configuration the sheet in force
    * @param workers commands the workers
    */
   public CellOwner(
@@ -59,9 +69,11 @@
       EntrySettings settings,
       Cell cell,
       VmDirectory directory,
+      Configuration configuration,
       WorkerClient workers) {
     this.cell = cell;
     this.directory = directory;
+    this.configuration = configuration;
     this.logic =
         new CellOwnerLogic(
             new OwnerSettings(
@@ -71,8 +83,9 @@
                 settings.workerLeaseMillis(),
                 settings.taskHorizonMillis(),
                 settings.clockSkewMillis()),
-            new BestFitPlanner(MAX_PLACEMENTS));
+            planner);
     this.answers = new BoundedRing<>(settings.ringSize());
+    cell.replica().observe(this::judged);
     this.commands = new WorkerCommands(workers, entry, System::nanoTime, this::passOn);
   }
 
@@ -81,6 +94,25 @@
     duty = new Duty("cell-" + cell.name(), this::step);
   }
 
+  /**
+   * Tells the planner how attempts end, also those of other owners; runs under the replica's lock.
+   */
+  private void judged(RecordPosition at, LedgerRecord record, boolean effective) {
+    if (effective && record instanceof AttemptEnded ended) {
+      cell.replica()
+          .read(stream -> stream.fold().job(ended.job()))
+          .ifPresent(job -> planner.attemptEnded(ended.job(), job.worker(), ended.reason()));
+    }
+  }
+
+  private void useSheet() {
+    SheetInForce inForce = configuration.inForce();
+    if (inForce.version() != plannedVersion) {
+      plannedVersion = inForce.version();
+      planner.use(inForce.sheet());
+    }
+  }
+
   private void passOn(WorkerAnswer answer) {
     while (!answers.offer(answer) && !Thread.currentThread().isInterrupted()) {
       LockSupport.parkNanos(RING_FULL_NANOS);
@@ -100,9 +132,11 @@
     List<OwnerAction> actions =
         cell.replica()
             .read(
-                stream ->
-                    logic.step(
-                        new OwnerInput(stream.fold(), nowMillis, logAnswers, listed, draining)));
+                stream -> {
+                  useSheet();
+                  return logic.step(
+                      new OwnerInput(stream.fold(), nowMillis, logAnswers, listed, draining));
+                });
     noteEpoch();
     for (OwnerAction action : actions) {
       carryOut(action, decidedNanos);
--- a/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoCallers.java
+++ b/launcher/src/main/java/org/lavenderstage/launcher/demo/DemoCallers.java
@@ -121,8 +121,10 @@
             .aggregate();
   }
 
+  /** Takes the entries in turn, past those that are unready, as the platform's balancer does. */
   private WebClient client() {
-    List<Entry> entries = deployment.entries();
+    List<Entry> ready = deployment.entries().stream().filter(Entry::isReady).toList();
+    List<Entry> entries = ready.isEmpty() ? deployment.entries() : ready;
     Entry entry = entries.get((int) (sent % entries.size()));
     return WebClient.builder("http://" + entry.addresses().http()).responseTimeout(TIMEOUT).build();
   }
