--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/DispatchRequest.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/DispatchRequest.java
@@ -8,8 +8,7 @@
  * A request that may be sent to an executor.
  *
  * @param request what is sent
- * @param rank rank of the workspace; a lower number is served first
- * @param share weight of the workspace among those of its rank
+ * @param order what decides when it is served
  * @param idempotent whether it may be sent more than once
  * @param deadlineNanos deadline on the monotonic clock
  * @param mayDispatch asked right before each dispatch; false gives the request up
@@ -17,8 +16,7 @@
  */
 public record DispatchRequest(
     ExecutorRequest request,
-    int rank,
-    int share,
+    RequestOrder order,
     boolean idempotent,
     long deadlineNanos,
     BooleanSupplier mayDispatch,
--- a/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/lavenderstage/entry/dispatch/Dispatcher.java
@@ -210,11 +210,11 @@
     Waiting<Attempt> waiting =
         new Waiting<>(
             attempt,
-            request.rank(),
+            request.order().rank(),
             request.request().workspace(),
-            request.share(),
+            request.order().share(),
             request.deadlineNanos(),
-            false);
+            request.order().returning());
     switch (service(request.request().service()).scheduler().submit(waiting, now)) {
       case AdmissionDecision.Admitted admitted -> {
         // it waits for its turn
--- a/entry/src/main/java/org/lavenderstage/entry/request/ClaimDesk.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/ClaimDesk.java
@@ -225,8 +225,7 @@
     dispatcher.accept(
         new DispatchRequest(
             work.request(),
-            work.rank(),
-            work.share(),
+            work.order(),
             false,
             leader.deadlineNanos(),
             () -> mayDispatch(dispatch),
--- a/entry/src/main/java/org/lavenderstage/entry/request/ClaimedWork.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/ClaimedWork.java
@@ -1,12 +1,12 @@
 package org.lavenderstage.entry.request;
 
+import org.lavenderstage.entry.dispatch.RequestOrder;
 import org.lavenderstage.platform.ExecutorRequest;
 
 /**
  * What is sent once a claim is won.
  *
  * @param request the request
- * @param rank rank of the workspace; a lower number is served first
- * @param share weight of the workspace among those of its rank
+ * @param order what decides when it is served
  */
-public record ClaimedWork(ExecutorRequest request, int rank, int share) {}
+public record ClaimedWork(ExecutorRequest request, RequestOrder order) {}
--- a/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
+++ b/entry/src/main/java/org/lavenderstage/entry/request/RequestService.java
@@ -26,6 +26,7 @@
 import org.lavenderstage.entry.dispatch.DispatchRequest;
 import org.lavenderstage.entry.dispatch.DispatchResult;
 import org.lavenderstage.entry.dispatch.Dispatcher;
+import org.lavenderstage.entry.dispatch.RequestOrder;
 import org.lavenderstage.platform.ExecutorRequest;
 import org.lavenderstage.platform.ExecutorResult;
 import org.lavenderstage.platform.Headers;
@@ -132,7 +133,8 @@
     long deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeout.getAsLong());
     if (row.idempotent()) {
       ExecutorRequest sent = executorRequest(workspace, row.name(), "", request);
-      return dispatch(sent, row, deadlineNanos).thenApply(RequestService::toAnswer);
+      return dispatch(sent, order(sent, row, request), deadlineNanos)
+          .thenApply(RequestService::toAnswer);
     }
     return claimThenDispatch(workspace, row, request, arrivedNanos, deadlineNanos);
   }
@@ -172,28 +174,22 @@
             new RequestKey(workspace, key.get()),
             arrivedNanos,
             deadlineNanos,
-            new ClaimedWork(sent, rank(sent, row), share(sent)))
+            new ClaimedWork(sent, order(sent, row, request)))
         .thenApply(CallerAnswer::of);
   }
 
-  private int rank(ExecutorRequest sent, ServiceRow row) {
-    return workspace(sent).map(WorkspaceRow::rank).orElse(row.rank());
-  }
-
-  private int share(ExecutorRequest sent) {
-    return workspace(sent).map(WorkspaceRow::share).orElse(1);
-  }
-
-  private Optional<WorkspaceRow> workspace(ExecutorRequest sent) {
-    return configuration.inForce().sheet().workspace(sent.workspace());
+  private RequestOrder order(ExecutorRequest sent, ServiceRow row, AggregatedHttpRequest request) {
+    Optional<WorkspaceRow> workspace = configuration.inForce().sheet().workspace(sent.workspace());
+    return new RequestOrder(
+        workspace.map(WorkspaceRow::rank).orElse(row.rank()),
+        workspace.map(WorkspaceRow::share).orElse(1),
+        request.headers().contains(Headers.RETURNING));
   }
 
   private CompletableFuture<DispatchResult> dispatch(
-      ExecutorRequest sent, ServiceRow row, long deadlineNanos) {
+      ExecutorRequest sent, RequestOrder order, long deadlineNanos) {
     CompletableFuture<DispatchResult> result = new CompletableFuture<>();
-    dispatcher.submit(
-        new DispatchRequest(
-            sent, rank(sent, row), share(sent), true, deadlineNanos, () -> true, result));
+    dispatcher.submit(new DispatchRequest(sent, order, true, deadlineNanos, () -> true, result));
     return result;
   }
 
--- a/entry/src/test/java/org/lavenderstage/entry/dispatch/DispatchNode.java
+++ b/entry/src/test/java/org/lavenderstage/entry/dispatch/DispatchNode.java
@@ -83,7 +83,11 @@
         new ExecutorRequest("id" + number, "w" + number % 3, "s", "", "text/plain", new byte[1]);
     CompletableFuture<DispatchResult> result = new CompletableFuture<>();
     long deadline = System.nanoTime() + Duration.ofSeconds(30).toNanos();
-    dispatcher.get().submit(new DispatchRequest(request, 1, 1, true, deadline, () -> true, result));
+    dispatcher
+        .get()
+        .submit(
+            new DispatchRequest(
+                request, new RequestOrder(1, 1, false), true, deadline, () -> true, result));
     return result;
   }
 
