--- a/launcher/src/test/java/org/lavenderstage/launcher/process/ProcessFaultsTest.java
+++ b/launcher/src/test/java/org/lavenderstage/launcher/process/ProcessFaultsTest.java
@@ -145,8 +145,7 @@
       List<Future<HttpResponse<String>>> answers = new ArrayList<>();
       for (int i = 0; i < 100; i++) {
         String body = "request " + i;
-        answers.add(
-            callers.submit(() -> deployment.request("entry-0", "jack-voicing", "", body)));
+        answers.add(callers.submit(() -> deployment.request("entry-0", "jack-voicing", "", body)));
       }
       int answered = 0;
       for (int i = 0; i < answers.size(); i++) {
