--- a/launcher/src/test/java/org/lavenderstage/launcher/process/ProcessFaultsTest.java
+++ b/launcher/src/test/java/org/lavenderstage/launcher/process/ProcessFaultsTest.java
@@ -49,6 +49,48 @@
     }
   }
 
+  @Test
+  void entriesThatReplaceAllOthersAtOnceGoOnWithJobsOrdersAndSheet() throws Exception {
+    try (ProcessDeployment deployment = new ProcessDeployment(2)) {
+      String key = Keys.now();
+      assertEquals("answered", outcome(deployment.request("entry-0", "cut-layouts", key, "cut")));
+      submitJobsAndNameTheOwner(deployment);
+      deployment.kill("entry-0");
+      deployment.kill("entry-1");
+      deployment.startEntry("entry-2");
+      deployment.startEntry("entry-3");
+      for (String entry : deployment.names()) {
+        ProcessDeployment.await(JOBS_DONE, () -> deployment.isReady(entry));
+        assertTrue(deployment.state(entry).contains("\"sheetVersion\":1"));
+        HttpResponse<String> repeat = deployment.request(entry, "cut-layouts", key, "cut");
+        assertTrue(List.of("ran", "unknown").contains(outcome(repeat)), outcome(repeat));
+      }
+      assertEquals(1, deployment.runs.runs(ProcessDeployment.WORKSPACE, key));
+      assertEveryJobEndsOnce(deployment);
+    }
+  }
+
+  @Test
+  void aLogThatAnswersNothingHoldsUpNoIdempotentRequest() throws Exception {
+    try (ProcessDeployment deployment = new ProcessDeployment(2)) {
+      deployment.logFaults.set(FaultSwitch.Kind.FREEZE, 1);
+      TimeUnit.SECONDS.sleep(2);
+      for (String entry : deployment.names()) {
+        assertAnswered(deployment, entry);
+        HttpResponse<String> order =
+            deployment.request(entry, "cut-layouts", Keys.now(), "an order");
+        assertEquals("not-accepted", outcome(order));
+      }
+      deployment.logFaults.set(FaultSwitch.Kind.FREEZE, 0);
+      ProcessDeployment.await(
+          TAKEOVER,
+          () ->
+              outcome(deployment.request("entry-0", "cut-layouts", Keys.now(), "an order"))
+                  .equals("answered"));
+      assertEquals(0, deployment.runs.doubled());
+    }
+  }
+
   @Test
   void anEntryStartsFromAPeerWhileTheLogIsDown() throws Exception {
     try (ProcessDeployment deployment = new ProcessDeployment(1)) {
