--- a/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
+++ b/entry/src/main/java/org/lavenderstage/entry/log/StreamReplica.java
@@ -17,6 +17,7 @@
 import org.lavenderstage.platform.PlatformUnavailableException;
 import org.lavenderstage.wire.codec.LedgerCodec;
 import org.lavenderstage.wire.codec.MalformedMessageException;
+import org.lavenderstage.wire.codec.SnapshotSearch;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.platform.LogPage;
--- a/entry/src/test/java/org/lavenderstage/entry/log/SnapshotRecoveryTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/log/SnapshotRecoveryTest.java
@@ -28,6 +28,7 @@
 import org.lavenderstage.standin.log.FakeLog;
 import org.lavenderstage.wire.codec.LedgerCodec;
 import org.lavenderstage.wire.codec.MalformedMessageException;
+import org.lavenderstage.wire.codec.SnapshotSearch;
 import org.lavenderstage.wire.codec.StateCodec;
 import org.lavenderstage.wire.platform.LogPage;
 import org.lavenderstage.wire.platform.StoredRecord;
--- a/entry/src/main/java/org/lavenderstage/entry/log/SnapshotSearch.java
+++ b/wire/src/main/java/org/lavenderstage/wire/codec/SnapshotSearch.java
@@ -1,13 +1,10 @@
-package org.lavenderstage.entry.log;
+package org.lavenderstage.wire.codec;
 
 import java.util.Optional;
 import org.lavenderstage.core.ledger.SnapshotAssembler;
 import org.lavenderstage.core.ledger.StreamState;
 import org.lavenderstage.core.record.LedgerRecord;
 import org.lavenderstage.core.record.RecordBatch;
-import org.lavenderstage.wire.codec.LedgerCodec;
-import org.lavenderstage.wire.codec.MalformedMessageException;
-import org.lavenderstage.wire.codec.StateCodec;
 import org.lavenderstage.wire.platform.LogPage;
 import org.lavenderstage.wire.platform.StoredRecord;
 
@@ -15,25 +12,35 @@
  * Looks through the records that the log still keeps for a snapshot from which the stream can be
  * read on without a gap.
  */
-final class SnapshotSearch {
+public final class SnapshotSearch {
   private final SnapshotAssembler assembler = new SnapshotAssembler();
   private long nextOffset;
 
-  SnapshotSearch(long fromOffset) {
+  /**
+   * Starts to look.
+   *
+   * @param fromOffset first offset that the log keeps
+   */
+  public SnapshotSearch(long fromOffset) {
     nextOffset = fromOffset;
   }
 
-  /** First offset that was not looked at yet. */
-  long nextOffset() {
+  /**
+   * Returns where to read on.
+   *
+   * @return first offset that was not looked at yet
+   */
+  public long nextOffset() {
     return nextOffset;
   }
 
   /**
    * Looks through one page.
    *
+   * @param page records from the next offset on
    * @return a state whose next offset the log still keeps, empty where the page completes none
    */
-  Optional<StreamState> look(LogPage page) {
+  public Optional<StreamState> look(LogPage page) {
     nextOffset = Math.max(nextOffset, page.firstKeptOffset());
     for (StoredRecord record : page.records()) {
       nextOffset = record.offset() + 1;
