Learn how far fillers press on serving tasks pair by pair, with how sure that is

A trial that logged every report showed why: the tails of serving tasks were the same with and without fillers beside them (median 57 against 54 ms, target 150 ms) but for a few pairs of images, whose tails grow up to 19 times. The filter began each pair at 0.8, learned all pairs of a worker at one rate, put the serving tasks' own swing down to the fillers, and left a part of the limit free that the swing alone used up, so fillers stood still while nothing pressed.

Pairs are now estimated with their variance (PressureTable), and a step's own load is one more estimate; fillers that ended within a report's span still count. Placement goes by a pressure one deviation above the mean; the guard slows the heaviest fillers first instead of all. Unused processors follow from the load seen, not from a fixed share.

Ruled out: contention for processors (fillers get 0.85 of what they ask for at any load of the worker).

--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -29,7 +29,6 @@
   private int load;
   private int pacePercent = 100;
   private long paceSinceMillis;
-  private double ownUtilization = UNKNOWN_UTILIZATION;
 
   /**
    * Makes a run that is about to be ordered.
@@ -198,22 +197,4 @@
   public long paceSinceMillis() {
     return paceSinceMillis;
   }
-
-  /**
-   * Returns the utilization of a serving task by its own load, without what others add.
-   *
-   * @return 0 to 1
-   */
-  public double ownUtilization() {
-    return ownUtilization;
-  }
-
-  /**
-   * Keeps the utilization of a serving task by its own load.
-   *
-   * @param utilization 0 to 1
-   */
-  public void ownUtilization(double utilization) {
-    ownUtilization = utilization;
-  }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -1,20 +1,23 @@
 package org.lavenderstage.core.pool;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 
 /**
  * Keeps filling tasks from harming tasks that serve users. After each report of a worker, the
- * fillers that press on a serving task are slowed to what its target allows, and let go again; one
- * that can hardly work there is stopped, where it keeps a checkpoint, to go on elsewhere.
+ * fillers that press hardest on a serving task are slowed until its target holds, and let go again;
+ * one that can hardly work there is stopped, where it keeps a checkpoint, to go on elsewhere.
  */
 final class FillGuard {
   /** Part of a limit that is kept free for the load to grow before the next report. */
-  private static final double HEADROOM = 0.1;
+  private static final double HEADROOM = 0.08;
 
-  /** Fillers that add less to a utilization are left alone. */
+  /** Fillers that add less to a utilization are left alone while the target holds. */
   private static final double NEGLIGIBLE = 0.01;
 
   /** Paces are whole steps of so many percent, so that few orders are sent. */
@@ -40,19 +43,15 @@
     if (worker.fillingCount() == 0) {
       return orders;
     }
-    List<Run> all = worker.runs();
-    List<Allowance> allowances = allowances(worker, all);
-    for (Run run : all) {
-      StepSpec spec = run.task().step().spec();
-      if (!spec.filling() || run.state() != Run.State.RUNNING) {
-        continue;
-      }
-      int pace = paceOf(spec, worker, allowances);
+    Map<Run, Double> shares = shares(worker, steady);
+    for (Map.Entry<Run, Double> filler : shares.entrySet()) {
+      Run run = filler.getKey();
+      int pace = (int) Math.round(filler.getValue() * FULL_PERCENT) / PACE_STEP * PACE_STEP;
       if (pace != run.pacePercent()) {
         run.pace(pace, steady);
         orders.add(new Order.Pace(worker, run, pace));
       } else if (pace < PACE_STEP
-          && spec.checkpointing()
+          && run.task().step().spec().checkpointing()
           && steady - run.paceSinceMillis() > CROWDED_MILLIS) {
         runs.stop(run, "it would slow tasks that serve users", steady);
       }
@@ -60,34 +59,52 @@
     return orders;
   }
 
-  /** The share of their speed at which all fillers together keep a serving task in its target. */
-  private record Allowance(StepSpec serving, double share) {}
-
-  private List<Allowance> allowances(Worker worker, List<Run> all) {
-    List<Allowance> allowances = new ArrayList<>();
+  /** Returns the part of its full speed that each running filler of a worker may work at. */
+  private Map<Run, Double> shares(Worker worker, long steady) {
+    List<Run> all = worker.runs();
+    Map<Run, Double> shares = new HashMap<>();
     for (Run run : all) {
-      StepSpec serving = run.task().step().spec();
-      if (Worker.serves(serving)) {
-        double demand = 0;
-        for (Run other : all) {
-          StepSpec spec = other.task().step().spec();
-          demand += spec.filling() ? pressure.added(serving, spec, worker) : 0;
-        }
-        double free = pressure.limit(serving) * (1 - HEADROOM) - run.ownUtilization();
-        allowances.add(new Allowance(serving, Math.max(0, free) / demand));
+      if (run.task().step().spec().filling() && run.state() == Run.State.RUNNING) {
+        shares.put(run, 1.0);
       }
     }
-    return allowances;
+    for (Run run : all) {
+      if (Worker.serves(run.task().step().spec())) {
+        restrain(run, worker, shares, steady);
+      }
+    }
+    return shares;
   }
 
-  /** Returns the pace at which a filler and the others stay within what they press on. */
-  private int paceOf(StepSpec filler, Worker worker, List<Allowance> allowances) {
-    double share = 1;
-    for (Allowance allowance : allowances) {
-      if (pressure.added(allowance.serving, filler, worker) >= NEGLIGIBLE) {
-        share = Math.min(share, allowance.share);
+  /** Lowers the shares of the fillers that press hardest until a serving task is in its target. */
+  private void restrain(Run serving, Worker worker, Map<Run, Double> shares, long steady) {
+    StepSpec spec = serving.task().step().spec();
+    boolean over = serving.load() > spec.tailTargetMillis();
+    double limit = pressure.limit(spec) * (1 - HEADROOM);
+    double expected = pressure.ownUtilization(serving.task().step()) - limit;
+    double measured = pressure.shownUtilization(serving) - limit;
+    Map<Run, Double> added = new HashMap<>();
+    for (Map.Entry<Run, Double> filler : shares.entrySet()) {
+      Run run = filler.getKey();
+      double full = pressure.added(spec, run.task().step().spec(), worker, steady);
+      expected += full * filler.getValue();
+      measured += full * (filler.getValue() - run.pacePercent() / (double) FULL_PERCENT);
+      if (over || full >= NEGLIGIBLE) {
+        added.put(run, full);
+      }
+    }
+    double excess = over ? Math.max(expected, measured) : expected;
+    List<Map.Entry<Run, Double>> heaviest = new ArrayList<>(added.entrySet());
+    heaviest.sort(Map.Entry.comparingByValue(Comparator.reverseOrder()));
+    for (Map.Entry<Run, Double> filler : heaviest) {
+      if (excess <= 0) {
+        return;
       }
+      double full = filler.getValue();
+      double before = shares.get(filler.getKey());
+      double after = Math.max(0, before - excess / Math.max(Double.MIN_NORMAL, full));
+      shares.put(filler.getKey(), after);
+      excess -= full * (before - after);
     }
-    return (int) (share * FULL_PERCENT) / PACE_STEP * PACE_STEP;
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/FillPressure.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillPressure.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.core.pool;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,72 +11,77 @@
 import org.lavenderstage.core.job.StepSpec;
 
 /**
- * Learns by how much the filling tasks of each image press on the serving tasks of each image.
+ * Learns how much of a serving task's utilization is its own load and how much comes from the
+ * filling tasks beside it.
  *
- * <p>A serving task's tail latency grows as in a queue, floor / (1 - utilization), so the
- * utilization that a tail shows is the task's own load plus what each filling task adds. All tasks
- * of a step share their load; the differences between workers show what the fillers add. Both are
- * followed by a normalized least-mean-squares filter, since loads and pressures drift in seconds.
+ * <p>A serving task's tail latency grows as in a queue, floor / (1 - utilization). All tasks of a
+ * step share their own load, which moves over seconds; what a worker shows beyond the step's load
+ * is put down to the fillers there, by how unsure their pressures are. Loads and pressures are
+ * followed by a Kalman filter that keeps variances only.
  */
 final class FillPressure {
-  /** Pressure of an unknown image for its share of the worker; about that of its processors. */
-  private static final double UNKNOWN_PRESSURE = 0.8;
-
-  /** Largest pressure that is believed. */
-  private static final double LARGEST_PRESSURE = 8;
-
   /** Part of the smallest tail seen that is taken as the tail without any load. */
   private static final double FLOOR_OF_SMALLEST = 0.75;
 
-  /** Part of an error that corrects the pressures. */
-  private static final double PRESSURE_RATE = 0.15;
+  /** Target of a tail against the tail without load, where no tail was seen yet. */
+  private static final double TARGET_OVER_FLOOR = 6;
+
+  /** Relative noise of a reported tail, as a standard deviation. */
+  private static final double TAIL_NOISE = 0.12;
+
+  /** Least noise of a utilization read from a tail, as a standard deviation. */
+  private static final double LEAST_NOISE = 0.02;
+
+  /** Drift of a step's own load within a second, as a standard deviation. */
+  private static final double LOAD_DRIFT = 0.06;
 
-  /** Part of an error that corrects the load of a step. */
-  private static final double LOAD_RATE = 0.25;
+  /** Deviation of a load of which nothing is known. */
+  private static final double UNKNOWN_LOAD_DEVIATION = 0.2;
 
   /** Largest error that is believed; tails are rough figures with single outliers. */
-  private static final double LARGEST_ERROR = 0.3;
+  private static final double LARGEST_ERROR = 0.4;
 
-  /** Keeps corrections small where fillers use hardly any processors. */
-  private static final double REGULARIZATION = 0.002;
+  /** Time that a report's figures cover, in milliseconds; nearer reports say the same again. */
+  static final long REPORT_SPAN_MILLIS = 500;
 
   /** Time after its start in which a serving task's tail says nothing, in milliseconds. */
   private static final long WARM_UP_MILLIS = 1_000;
 
   private static final int READY_PERCENT = 100;
 
+  private final PressureTable table = new PressureTable();
   private final Map<String, Double> smallestTail = new HashMap<>();
 
   /** Weak, since nothing tells here of steps that have ended. */
-  private final Map<StepRun, Double> loads = new WeakHashMap<>();
-
-  private final Map<Pair, Double> pressures = new HashMap<>();
-  private final Map<String, Double> meanPressures = new HashMap<>();
-
-  /** A serving and a filling image. */
-  private record Pair(String serving, String filling) {}
-
-  /** Returns the pressure of a filling image on a serving one, for its whole share of a worker. */
-  double pressure(String serving, String filling) {
-    Double known = pressures.get(new Pair(serving, filling));
-    return known == null ? meanPressures.getOrDefault(filling, UNKNOWN_PRESSURE) : known;
+  private final Map<StepRun, Load> loads = new WeakHashMap<>();
+
+  /** Own load of the tasks of a step. */
+  private record Load(double mean, double variance, long steadyMillis) {
+    Load at(long steady) {
+      double seconds = Math.max(0, steady - steadyMillis) / 1_000.0;
+      double drifted = variance + LOAD_DRIFT * LOAD_DRIFT * seconds;
+      double most = UNKNOWN_LOAD_DEVIATION * UNKNOWN_LOAD_DEVIATION;
+      return new Load(mean, Math.min(most, drifted), steady);
+    }
   }
 
+  /** What the fillers of one image used of a worker's processors while a report was made. */
+  private record Use(String image, double share) {}
+
   /** Returns the mean pressure of a filling image over the serving images it was seen beside. */
   double ofImage(String filling) {
-    return meanPressures.getOrDefault(filling, UNKNOWN_PRESSURE);
+    return table.ofImage(filling);
   }
 
-  /**
-   * Returns the utilization that fillers may bring a serving task to before it misses its target.
-   */
+  /** Returns the utilization at which a serving task just meets its target. */
   double limit(StepSpec serving) {
     return Math.max(0, 1 - floor(serving) / serving.tailTargetMillis());
   }
 
   private double floor(StepSpec serving) {
+    double expected = serving.tailTargetMillis() / TARGET_OVER_FLOOR;
     Double smallest = smallestTail.get(serving.image());
-    return smallest == null ? serving.tailTargetMillis() / 6.0 : FLOOR_OF_SMALLEST * smallest;
+    return smallest == null ? expected : FLOOR_OF_SMALLEST * smallest;
   }
 
   /** Takes in what a worker has just reported. */
@@ -84,104 +90,150 @@
     if (worker.servingCount() == 0 || capacity <= 0) {
       return;
     }
-    List<Run> fillers = new ArrayList<>();
     List<Run> serving = new ArrayList<>();
     for (Run run : worker.runs()) {
-      if (run.state() == Run.State.RUNNING) {
-        StepSpec spec = run.task().step().spec();
-        if (spec.filling()) {
-          fillers.add(run);
-        } else if (Worker.serves(spec) && isWarm(run, steady)) {
-          serving.add(run);
-        }
+      if (Worker.serves(run.task().step().spec()) && isWarm(run, steady)) {
+        serving.add(run);
       }
     }
+    boolean news = worker.measuredAtMillis() + REPORT_SPAN_MILLIS <= steady;
+    if (serving.isEmpty() || !news) {
+      return;
+    }
+    worker.measured(steady);
+    Collection<Use> uses = uses(worker, capacity, steady);
     for (Run run : serving) {
-      learn(run, fillers, capacity);
+      learn(run, uses, steady);
     }
   }
 
   private static boolean isWarm(Run run, long steady) {
-    return run.load() > 0
+    return run.state() == Run.State.RUNNING
+        && run.load() > 0
         && run.percent() == READY_PERCENT
         && steady - run.stateSinceMillis() > WARM_UP_MILLIS;
   }
 
-  private void learn(Run run, List<Run> fillers, double capacity) {
+  private static Collection<Use> uses(Worker worker, double capacity, long steady) {
+    Map<String, Double> shares = new HashMap<>();
+    for (Run run : worker.runs()) {
+      StepSpec spec = run.task().step().spec();
+      if (spec.filling() && run.load() > 0) {
+        shares.merge(spec.image(), run.load() / capacity, Double::sum);
+      }
+    }
+    worker
+        .endedFillers(steady)
+        .forEach((image, cpuMillis) -> shares.merge(image, cpuMillis / capacity, Double::sum));
+    List<Use> uses = new ArrayList<>(shares.size());
+    shares.forEach((image, share) -> uses.add(new Use(image, share)));
+    return uses;
+  }
+
+  private void learn(Run run, Collection<Use> uses, long steady) {
     StepRun step = run.task().step();
     String image = step.spec().image();
     smallestTail.merge(image, (double) run.load(), Math::min);
-    double shown = Math.max(0, 1 - floor(step.spec()) / run.load());
-    double load = loads.getOrDefault(step, Run.UNKNOWN_UTILIZATION);
+    double shown = shownUtilization(run);
+    double noise = Math.max(LEAST_NOISE, TAIL_NOISE * (1 - shown));
+    Load load = loadOf(step).at(steady);
     double pressed = 0;
-    double norm = REGULARIZATION;
-    for (Run filler : fillers) {
-      double share = filler.load() / capacity;
-      pressed += pressure(image, filler.task().step().spec().image()) * share;
-      norm += share * share;
+    double variance = noise * noise + load.variance;
+    for (Use use : uses) {
+      PressureTable.Estimate estimate = table.find(image, use.image, steady);
+      pressed += estimate.mean() * use.share;
+      variance += estimate.variance() * use.share * use.share;
     }
-    double error = Math.max(-LARGEST_ERROR, Math.min(LARGEST_ERROR, shown - load - pressed));
-    for (Run filler : fillers) {
-      String filling = filler.task().step().spec().image();
-      double change = PRESSURE_RATE * error * (filler.load() / capacity) / norm;
-      double next = pressure(image, filling) + change;
-      double bounded = Math.max(0, Math.min(LARGEST_PRESSURE, next));
-      pressures.put(new Pair(image, filling), bounded);
-      double mean = meanPressures.getOrDefault(filling, UNKNOWN_PRESSURE);
-      meanPressures.put(filling, mean + PRESSURE_RATE * (bounded - mean));
+    double surprise = shown - load.mean - pressed;
+    double error = Math.max(-LARGEST_ERROR, Math.min(LARGEST_ERROR, surprise));
+    for (Use use : uses) {
+      table.correct(image, use.image, use.share, error, variance, steady);
     }
-    loads.put(step, Math.max(0, Math.min(1, load + LOAD_RATE * error)));
-    run.ownUtilization(Math.max(0, Math.min(1, shown - pressed)));
+    double gain = load.variance / variance;
+    double mean = Math.max(0, Math.min(1, load.mean + gain * error));
+    loads.put(step, new Load(mean, load.variance * (1 - gain), steady));
+  }
+
+  private Load loadOf(StepRun step) {
+    Load known = loads.get(step);
+    return known == null
+        ? new Load(Run.UNKNOWN_UTILIZATION, UNKNOWN_LOAD_DEVIATION * UNKNOWN_LOAD_DEVIATION, 0)
+        : known;
+  }
+
+  /** Returns the utilization that the tail of a serving task shows; 0 before its first report. */
+  double shownUtilization(Run serving) {
+    return serving.load() <= 0
+        ? 0
+        : Math.max(0, 1 - floor(serving.task().step().spec()) / serving.load());
+  }
+
+  /**
+   * Returns the utilization of a serving task by its step's own load.
+   *
+   * @return 0 to 1
+   */
+  double ownUtilization(StepRun serving) {
+    return loadOf(serving).mean;
   }
 
   /**
    * Returns the utilization still free on the tightest serving task of a worker, if all its fillers
-   * ran at a given share of their speed.
+   * ran at their paces.
    *
    * @param worker the worker
    * @param headroom part of each limit that is kept free
    * @return utilization left, below 0 where a serving task would be over its limit; 1 where nothing
    *     serves
    */
-  double margin(Worker worker, double headroom) {
+  double margin(Worker worker, double headroom, long steady) {
     double least = 1;
     List<Run> runs = worker.runs();
     for (Run run : runs) {
-      StepSpec spec = run.task().step().spec();
+      StepRun step = run.task().step();
+      StepSpec spec = step.spec();
       if (Worker.serves(spec)) {
-        double free =
-            limit(spec) * (1 - headroom) - run.ownUtilization() - pressedOn(spec, runs, worker);
+        double pressed = pressedOn(spec, runs, worker, steady);
+        double free = limit(spec) * (1 - headroom) - ownUtilization(step) - pressed;
         least = Math.min(least, free);
       }
     }
     return least;
   }
 
-  /** Returns what all fillers of a worker add to a serving task at their paces. */
-  double pressedOn(StepSpec serving, List<Run> runs, Worker worker) {
+  private double pressedOn(StepSpec serving, List<Run> runs, Worker worker, long steady) {
     double sum = 0;
     for (Run run : runs) {
       StepSpec spec = run.task().step().spec();
       if (spec.filling()) {
-        sum += added(serving, spec, worker) * run.pacePercent() / 100.0;
+        sum += added(serving, spec, worker, steady) * run.pacePercent() / 100.0;
       }
     }
     return sum;
   }
 
   /** Returns what one filling task at full speed adds to a serving task. */
-  double added(StepSpec serving, StepSpec filling, Worker worker) {
-    return pressure(serving.image(), filling.image())
-        * filling.cpuMillis()
-        / Math.max(1, worker.capacityCpuMillis());
+  double added(StepSpec serving, StepSpec filling, Worker worker, long steady) {
+    return addedBy(filling, worker) * table.find(serving.image(), filling.image(), steady).mean();
   }
 
-  /** Returns the most that a filling task would add to one of some serving tasks of a worker. */
-  double mostAdded(StepSpec filling, Iterable<StepSpec> serving, Worker worker) {
+  /**
+   * Returns what a filling task would add to one of some serving tasks of a worker if its pressures
+   * were higher than believed.
+   *
+   * @param deviations by how many standard deviations
+   */
+  double mostAdded(
+      StepSpec filling, Iterable<StepSpec> serving, Worker worker, double deviations, long steady) {
     double most = 0;
     for (StepSpec spec : serving) {
-      most = Math.max(most, added(spec, filling, worker));
+      PressureTable.Estimate pair = table.find(spec.image(), filling.image(), steady);
+      most = Math.max(most, pair.mean() + deviations * pair.deviation());
     }
-    return most;
+    return most * addedBy(filling, worker);
+  }
+
+  private static double addedBy(StepSpec filling, Worker worker) {
+    return (double) filling.cpuMillis() / Math.max(1, worker.capacityCpuMillis());
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -196,7 +196,13 @@
         end.number(),
         "kind",
         end.kind());
-    worker.run(end.task(), end.attempt()).ifPresent(run -> release(worker, run));
+    worker
+        .run(end.task(), end.attempt())
+        .ifPresent(
+            run -> {
+              worker.fillerEnded(run, steady);
+              release(worker, run);
+            });
     count(worker, end.kind(), steady);
     Optional<Task> task = jobs.task(end.task());
     if (task.isEmpty()) {
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -1,6 +1,8 @@
 package org.lavenderstage.core.pool;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,9 +18,6 @@
  * may be on it. Only the owner's thread uses it.
  */
 public final class Worker {
-  /** Part of their processors that tasks which serve users are expected to use. */
-  private static final double SERVING_USE = 0.6;
-
   /** Longest time after which a lost order is still carried out, in milliseconds; seen: 12 s. */
   private static final long LONGEST_DELAY_MILLIS = 15_000;
 
@@ -32,7 +31,6 @@
   private int fillingCpuMillis;
   private int fillingCount;
   private int servingCount;
-  private int servingCpuMillis;
   private long bornMillis;
   private boolean registered;
   private boolean greeted;
@@ -47,6 +45,8 @@
   private int failedHolds;
   private long blockedUntilMillis;
   private final RunHistory history = new RunHistory();
+  private final Deque<EndedFiller> endedFillers = new ArrayDeque<>();
+  private long measuredAtMillis = Long.MIN_VALUE / 2;
 
   Worker(String id, String address) {
     this.id = id;
@@ -273,7 +273,6 @@
       fillingCount += change;
     } else if (serves(spec)) {
       servingCount += change;
-      servingCpuMillis += change * spec.cpuMillis();
     }
   }
 
@@ -334,12 +333,36 @@
     return listing.map(l -> l.capacity().cpuMillis()).orElse(0);
   }
 
-  /**
-   * Returns the processors that nothing is expected to use: ordinary tasks use what they reserve,
-   * tasks that serve users only a part of it, and filling tasks what they ask for.
-   */
-  int unusedCpuMillis() {
-    return idleCpuMillis() + (int) (servingCpuMillis * (1 - SERVING_USE));
+  /** A filling task that has ended, with the processors that it used last. */
+  private record EndedFiller(String image, int cpuMillis, long endedAtMillis) {}
+
+  /** Notes that a run has ended, whose use of processors still shows in the next report. */
+  void fillerEnded(Run run, long steadyMillis) {
+    StepSpec spec = run.task().step().spec();
+    if (spec.filling() && run.load() > 0) {
+      endedFillers.add(new EndedFiller(spec.image(), run.load(), steadyMillis));
+    }
+  }
+
+  /** Returns by image what fillers used in the span of a report made now, and no longer use. */
+  Map<String, Double> endedFillers(long steadyMillis) {
+    long span = FillPressure.REPORT_SPAN_MILLIS;
+    endedFillers.removeIf(filler -> steadyMillis - filler.endedAtMillis >= span);
+    Map<String, Double> used = new HashMap<>();
+    for (EndedFiller filler : endedFillers) {
+      double part = 1 - (double) (steadyMillis - filler.endedAtMillis) / span;
+      used.merge(filler.image, filler.cpuMillis * part, Double::sum);
+    }
+    return used;
+  }
+
+  /** Returns when the tails of this worker were last learned from, in steady milliseconds. */
+  long measuredAtMillis() {
+    return measuredAtMillis;
+  }
+
+  void measured(long steadyMillis) {
+    measuredAtMillis = steadyMillis;
   }
 
   Resources free() {
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -38,15 +38,24 @@
   private static final double HEAVY_PRESSURE = 0.9;
 
   /** Part of the limits of serving tasks that new filling tasks leave free. */
-  private static final double HEADROOM = 0.15;
+  private static final double HEADROOM = 0.1;
+
+  /** Utilization up to which a filling task is too light for the headroom to matter. */
+  private static final double LIGHT = 0.015;
+
+  /** Standard deviations by which a pressure may be higher than believed. */
+  private static final double CAUTION = 1.0;
 
   private final Collection<Worker> workers;
   private final long steadyMillis;
   private final FillPressure pressure;
   private final Map<Worker, ServingState> servingStates = new HashMap<>();
 
-  /** What the serving tasks of a worker leave to filling ones, and one task for each image. */
-  private record ServingState(double margin, Collection<StepSpec> images) {}
+  /**
+   * What the serving tasks of a worker leave to filling ones: utilization on the tightest of them,
+   * and processors that nothing is expected to use.
+   */
+  private record ServingState(double margin, int unusedCpuMillis, Collection<StepSpec> images) {}
 
   WorkerChoice(Collection<Worker> workers, FillPressure pressure, long steadyMillis) {
     this.workers = workers;
@@ -75,20 +84,30 @@
     servingStates.remove(worker);
   }
 
+  /** Returns the utilization that a filling task would leave free on the tightest serving task. */
   private double leftFor(StepSpec filling, Worker worker) {
-    ServingState state = servingStates.computeIfAbsent(worker, this::servingState);
-    return state.margin - pressure.mostAdded(filling, state.images, worker);
+    ServingState state = servingState(worker);
+    double added = pressure.mostAdded(filling, state.images, worker, CAUTION, steadyMillis);
+    return state.margin - added + (added < LIGHT ? HEADROOM : 0);
   }
 
   private ServingState servingState(Worker worker) {
+    return servingStates.computeIfAbsent(worker, this::newServingState);
+  }
+
+  private ServingState newServingState(Worker worker) {
     Map<String, StepSpec> images = new HashMap<>();
+    double unused = worker.idleCpuMillis();
     for (Run run : worker.runs()) {
-      StepSpec spec = run.task().step().spec();
+      StepRun step = run.task().step();
+      StepSpec spec = step.spec();
       if (Worker.serves(spec)) {
         images.put(spec.image(), spec);
+        unused += spec.cpuMillis() * (1 - pressure.ownUtilization(step));
       }
     }
-    return new ServingState(pressure.margin(worker, HEADROOM), images.values());
+    double margin = pressure.margin(worker, HEADROOM, steadyMillis);
+    return new ServingState(margin, (int) unused, images.values());
   }
 
   /** Everything but room. */
@@ -111,7 +130,8 @@
       return false;
     }
     return !spec.filling()
-        || (worker.unusedCpuMillis() >= spec.cpuMillis() / 2 && leftFor(spec, worker) >= 0);
+        || (servingState(worker).unusedCpuMillis >= spec.cpuMillis() / 2
+            && leftFor(spec, worker) >= 0);
   }
 
   private long cost(Worker worker, StepRun step) {
@@ -137,11 +157,12 @@
    * much is unused and serving tasks are far from their targets.
    */
   private long fillingCost(Worker worker, StepSpec spec) {
+    int unused = servingState(worker).unusedCpuMillis;
     if (worker.servingCount() == 0) {
       boolean heavy = pressure.ofImage(spec.image()) >= HEAVY_PRESSURE;
-      return (heavy ? -QUIET_WORKER_COST : QUIET_WORKER_COST) - worker.unusedCpuMillis();
+      return (heavy ? -QUIET_WORKER_COST : QUIET_WORKER_COST) - unused;
     }
-    return -worker.unusedCpuMillis() - Math.round(PRESSURE_COST * leftFor(spec, worker));
+    return -unused - Math.round(PRESSURE_COST * leftFor(spec, worker));
   }
 
   private Set<String> racksOf(StepRun step) {
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillingLoadTest.java
@@ -0,0 +1,131 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.StepSpec;
+
+/**
+ * A stream of filling jobs beside serving tasks that reserve four fifths of the workers and use
+ * half of that. The bounds are the users': no serving task over its target for four seconds on end
+ * because of fillers, and most of what nothing uses given to fillers.
+ */
+class FillingLoadTest {
+  private static final long SEED = 11;
+  private static final int WORKERS = 8;
+  private static final int WORKER_CPU = 32_000;
+  private static final int SERVING_CPU = 6_400;
+  private static final int SERVING_JOBS = 8;
+  private static final int TARGET_MILLIS = 150;
+  private static final long HARM_MILLIS = 4_000;
+  private static final long WARM_UP_MILLIS = 5_000;
+  private static final long MEASURED_MILLIS = 30_000;
+
+  /** One job of 48 core-seconds each time, which is more than the unused cores can do. */
+  private static final long SUBMIT_MILLIS = 250;
+
+  private static final List<String> SERVING = List.of("s0", "s1", "s2", "s3");
+
+  private static StepSpec serving(int count, String image) {
+    return new StepSpec(
+        count,
+        SERVING_CPU,
+        13_000,
+        0,
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        1,
+        false,
+        true,
+        image,
+        TARGET_MILLIS,
+        false,
+        0);
+  }
+
+  private static StepSpec filling(String image) {
+    return new StepSpec(
+        8, 3_500, 6_400, 0, 1_700, List.of(), true, false, false, "", "", 0, false, false, image, 0,
+        true, 0);
+  }
+
+  private static PoolWorld world(SimulatedInterference model) {
+    PoolWorld world = new PoolWorld(SEED, WORKERS);
+    for (SimulatedWorker worker : world.workers) {
+      worker.cpuMillis = WORKER_CPU;
+      worker.interference = Optional.of(model);
+    }
+    world.run(500);
+    for (int i = 0; i < SERVING_JOBS; i++) {
+      world.submit(List.of(serving(4, SERVING.get(i % SERVING.size()))), 0);
+    }
+    world.run(WARM_UP_MILLIS);
+    return world;
+  }
+
+  /** Hands in more filling jobs than can run; returns the part of the unused cores they used. */
+  private static double fill(PoolWorld world, SimulatedInterference model, List<String> images) {
+    double before = model.fillingCoreMillis;
+    long end = world.now + MEASURED_MILLIS;
+    for (int i = 0; world.now < end; i++) {
+      world.submit(List.of(filling(images.get(i % images.size()))), 2);
+      world.run(SUBMIT_MILLIS);
+    }
+    int reserved = SERVING_JOBS * 4 * SERVING_CPU;
+    double unused = WORKERS * WORKER_CPU - reserved * 0.48;
+    return (model.fillingCoreMillis - before) / (unused / 1_000 * MEASURED_MILLIS);
+  }
+
+  private static SimulatedInterference swingingLoad() {
+    return new SimulatedInterference(SEED, 0.48, 0.5, 20_000);
+  }
+
+  private static void pressLightly(SimulatedInterference model, List<String> images) {
+    for (String filling : images) {
+      SERVING.forEach(serving -> model.press(filling, serving, 0.07));
+    }
+  }
+
+  @Test
+  void harmlessFillersUseMostOfWhatServingTasksReserveAndLeave() {
+    SimulatedInterference model = swingingLoad();
+    List<String> images = List.of("f0", "f1", "f2", "f3", "f4");
+    pressLightly(model, images);
+    PoolWorld world = world(model);
+    double part = fill(world, model, images);
+    assertTrue(part > 0.8, "part of the unused cores: " + part);
+    assertEquals(0, model.overMillis);
+    assertEquals(List.of(), world.oracle.broken);
+  }
+
+  @Test
+  void imagesThatRuinSomeServingTasksHarmNoneForLongAndStillRunBesideOthers() {
+    SimulatedInterference model = swingingLoad();
+    List<String> harmless = List.of("f0", "f1", "f2", "f3", "f4");
+    List<String> heavy = List.of("h0", "h1", "h2", "h3");
+    pressLightly(model, harmless);
+    pressLightly(model, heavy);
+    for (int i = 0; i < heavy.size(); i++) {
+      model.press(heavy.get(i), SERVING.get(i), 5);
+      model.press(heavy.get(i), SERVING.get((i + 1) % SERVING.size()), 1.5);
+    }
+    PoolWorld world = world(model);
+    List<String> images = new ArrayList<>(harmless);
+    images.addAll(heavy);
+    double part = fill(world, model, images);
+    assertTrue(part > 0.6, "part of the unused cores: " + part);
+    assertTrue(model.longestOverMillis < HARM_MILLIS, "longest: " + model.longestOverMillis);
+    double over = (double) model.overMillis / model.servingMillis;
+    assertTrue(over < 0.03, "part of the serving time over target: " + over);
+    assertEquals(List.of(), world.oracle.broken);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedInterference.java
@@ -0,0 +1,117 @@
+package org.lavenderstage.core.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.job.TaskId;
+
+/**
+ * Tasks that disturb each other as queues do: a serving task's tail is its floor over what is left
+ * of its utilization, of which its own load takes a part that moves over time, and the filling
+ * tasks beside it the rest. Filling tasks share the processors that nothing else uses.
+ */
+final class SimulatedInterference {
+  static final int FLOOR_MILLIS = 25;
+  private static final double MOST_UTILIZATION = 0.98;
+  private static final double TAIL_NOISE = 0.08;
+
+  private final Map<String, Map<String, Double>> pressures = new HashMap<>();
+  private final Random random;
+  private final double meanLoad;
+  private final double swing;
+  private final long periodMillis;
+
+  /** Time over target on end, in milliseconds, by task. */
+  private final Map<TaskId, Long> overSince = new HashMap<>();
+
+  double fillingCoreMillis;
+  long servingMillis;
+  long overMillis;
+  long longestOverMillis;
+
+  /** A task on a worker and the part of its speed that it is let work at. */
+  record Share(TaskId task, StepSpec spec, double pace) {}
+
+  SimulatedInterference(long seed, double meanLoad, double swing, long periodMillis) {
+    random = new Random(seed);
+    this.meanLoad = meanLoad;
+    this.swing = swing;
+    this.periodMillis = periodMillis;
+  }
+
+  /** Sets by how much a whole worker of a filling image raises a serving image's utilization. */
+  void press(String filling, String serving, double pressure) {
+    pressures.computeIfAbsent(filling, key -> new HashMap<>()).put(serving, pressure);
+  }
+
+  private double own(TaskId task, long now) {
+    double phase = Math.floorMod(task.job().hashCode(), 100) / 100.0;
+    return meanLoad * (1 + swing * Math.sin(2 * Math.PI * (now / (double) periodMillis + phase)));
+  }
+
+  private double utilization(SimulatedWorker worker, TaskId task, StepSpec spec, long now) {
+    double sum = own(task, now);
+    for (Share share : worker.shares()) {
+      if (share.spec().filling()) {
+        double pressure =
+            pressures.getOrDefault(share.spec().image(), Map.of()).getOrDefault(spec.image(), 0.0);
+        sum += pressure * share.pace() * share.spec().cpuMillis() / worker.cpuMillis;
+      }
+    }
+    return Math.min(MOST_UTILIZATION, sum);
+  }
+
+  private double speed(SimulatedWorker worker, long now) {
+    double unused = worker.cpuMillis;
+    double wanted = 0;
+    for (Share share : worker.shares()) {
+      if (share.spec().filling()) {
+        wanted += share.spec().cpuMillis() * share.pace();
+      } else {
+        double use = Worker.serves(share.spec()) ? own(share.task(), now) : 1;
+        unused -= share.spec().cpuMillis() * use;
+      }
+    }
+    return wanted <= unused ? 1 : Math.max(0, unused / wanted);
+  }
+
+  /** Lets what runs on a worker go on for some time. */
+  void advance(SimulatedWorker worker, long millis, long now) {
+    double speed = speed(worker, now);
+    for (Share share : worker.shares()) {
+      StepSpec spec = share.spec();
+      if (spec.filling()) {
+        double worked = millis * share.pace() * speed;
+        worker.work(share.task(), worked);
+        fillingCoreMillis += worked * spec.cpuMillis() / 1_000;
+      } else if (Worker.serves(spec)) {
+        servingMillis += millis;
+        double tail = FLOOR_MILLIS / (1 - utilization(worker, share.task(), spec, now));
+        if (tail <= spec.tailTargetMillis()) {
+          overSince.remove(share.task());
+        } else {
+          overMillis += millis;
+          long since = overSince.computeIfAbsent(share.task(), key -> now);
+          longestOverMillis = Math.max(longestOverMillis, now - since);
+        }
+      }
+    }
+  }
+
+  /** Returns the rough figure that a worker reports of a task. */
+  int load(SimulatedWorker worker, TaskId task, long now) {
+    for (Share share : worker.shares()) {
+      if (share.task().equals(task)) {
+        StepSpec spec = share.spec();
+        if (spec.filling()) {
+          return (int) (spec.cpuMillis() * share.pace() * speed(worker, now));
+        }
+        double noise = 1 + TAIL_NOISE * random.nextGaussian();
+        double tail = FLOOR_MILLIS / (1 - utilization(worker, task, spec, now));
+        return Worker.serves(spec) ? (int) Math.round(tail * noise) : spec.cpuMillis();
+      }
+    }
+    return 0;
+  }
+}
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
@@ -32,8 +33,31 @@
   /** Ends that were listed when the lease lapsed; by the platform's rules they are never noted. */
   private long voidUpTo;
 
-  /** One run on this worker. */
-  private record Running(int attempt, StepSpec spec, long endsAt, boolean fails) {}
+  /** How tasks on one worker disturb each other; none unless a test sets it. */
+  Optional<SimulatedInterference> interference = Optional.empty();
+
+  /** Processors in thousandths of a core. */
+  int cpuMillis = 8_000;
+
+  private final Map<TaskId, Integer> paces = new HashMap<>();
+  private long advancedTo;
+
+  /** One run on this worker; a filling one ends when its work is done, others at a time. */
+  private static final class Running {
+    final int attempt;
+    final StepSpec spec;
+    final long endsAt;
+    final boolean fails;
+    double workLeftMillis;
+
+    Running(int attempt, StepSpec spec, long endsAt, boolean fails) {
+      this.attempt = attempt;
+      this.spec = spec;
+      this.endsAt = endsAt;
+      this.fails = fails;
+      workLeftMillis = spec.estimateMillis();
+    }
+  }
 
   SimulatedWorker(int number, long born, TaskOracle oracle) {
     this.id = "w" + number;
@@ -50,7 +74,7 @@
         "domain",
         "rack",
         Set.of("rack"),
-        new Resources(8_000, 64_000, 0),
+        new Resources(cpuMillis, 256_000, 0),
         draining,
         born);
   }
@@ -67,17 +91,37 @@
     if (clock(now) > leaseUntil) {
       voidUpTo = lastNumber;
     }
+    interference.ifPresent(model -> model.advance(this, now - advancedTo, now));
+    advancedTo = now;
     for (TaskId task : List.copyOf(running.keySet())) {
       Running run = running.get(task);
+      boolean fills = interference.isPresent() && run.spec.filling();
       if (clock(now) > leaseUntil) {
         end(task, EndKind.LAPSED, now);
-      } else if (now >= run.endsAt) {
+      } else if (fills ? run.workLeftMillis <= 0 : now >= run.endsAt) {
         end(task, run.fails ? EndKind.FAILED : EndKind.DONE, now);
       }
     }
   }
 
+  /** Returns what runs here, with the pace of each. */
+  List<SimulatedInterference.Share> shares() {
+    List<SimulatedInterference.Share> shares = new ArrayList<>();
+    running.forEach(
+        (task, run) ->
+            shares.add(
+                new SimulatedInterference.Share(
+                    task, run.spec, paces.getOrDefault(task, 100) / 100.0)));
+    return shares;
+  }
+
+  /** Lets a filling task do some of its work. */
+  void work(TaskId task, double millis) {
+    running.get(task).workLeftMillis -= millis;
+  }
+
   private void end(TaskId task, EndKind kind, long now) {
+    paces.remove(task);
     Running run = running.remove(task);
     highestEnded.merge(task, run.attempt, Math::max);
     ended.add(new WorkerReport.EndedTask(++lastNumber, task, run.attempt, kind, ""));
@@ -94,7 +138,12 @@
       case Order.Start start -> start(start, now, fails);
       case Order.Stop stop -> stop(stop.run().task().id(), stop.run().attempt(), now);
       case Order.StopStray stray -> stop(stray.task(), stray.attempt(), now);
-      case Order.Pace pace -> new OrderResult.Accepted(clock(now));
+      case Order.Pace pace -> {
+        if (running.containsKey(pace.run().task().id())) {
+          paces.put(pace.run().task().id(), pace.percent());
+        }
+        yield new OrderResult.Accepted(clock(now));
+      }
       case Order.Hold hold -> report(hold, now);
     };
   }
@@ -113,8 +162,8 @@
       return new OrderResult.Rejected(Rejection.OUTDATED);
     }
     StepSpec spec = run.task().step().spec();
-    int used = running.values().stream().mapToInt(r -> r.spec.cpuMillis()).sum();
-    if (used + spec.cpuMillis() > listing().capacity().cpuMillis()) {
+    int used = running.values().stream().mapToInt(r -> Worker.demand(r.spec).cpuMillis()).sum();
+    if (used + Worker.demand(spec).cpuMillis() > cpuMillis) {
       return new OrderResult.Rejected(Rejection.NO_ROOM);
     }
     long length = spec.lasting() ? Long.MAX_VALUE / 4 : spec.estimateMillis();
@@ -144,7 +193,14 @@
     ended.removeIf(end -> end.number() <= hold.notedUpTo());
     List<WorkerReport.RunningTask> rows = new ArrayList<>();
     running.forEach(
-        (task, run) -> rows.add(new WorkerReport.RunningTask(task, run.attempt, "", 100, 0)));
+        (task, run) ->
+            rows.add(
+                new WorkerReport.RunningTask(
+                    task,
+                    run.attempt,
+                    "",
+                    100,
+                    interference.map(model -> model.load(this, task, now)).orElse(0))));
     return new OrderResult.Reported(new WorkerReport(clock(now), born, rows, ended));
   }
 
