--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -36,6 +36,7 @@
   private final PlatformStore store;
   private final ConfigurationWatch configuration;
   private final Members members;
+  private final OwnerTerms terms;
   private final OwnerElection election;
   private final CallRouter router;
   private final PeerServer peers;
@@ -60,7 +61,7 @@
             Math.min(LEASE_MILLIS, settings.bounds().longestLease()),
             settings.bounds().thawSlack(),
             FORMER_OWNER_MILLIS);
-    OwnerTerms terms =
+    terms =
         new OwnerTerms(
             store,
             new PlatformWorkers(http),
@@ -98,6 +99,11 @@
     };
   }
 
+  /** Tells whether this entry owns the jobs. */
+  boolean ownsJobs() {
+    return terms.current().isPresent();
+  }
+
   /** Starts to serve. */
   public void start() {
     front.start();
--- /dev/null
+++ b/entry/src/test/java/org/lavenderstage/entry/job/RehearsalCommandTest.java
@@ -0,0 +1,13 @@
+package org.lavenderstage.entry.job;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RehearsalCommandTest {
+  @Test
+  void aRehearsedEntryClaimsTheJobsOfAnEmptyStore() throws Exception {
+    assertTrue(RehearsalCommand.rehearse(List.of()));
+  }
+}
