Claim by processor and without entries that stop, and tell callers in time to come back

Replies about the owner now say whether the sender may claim, and its processor, which goes first in the order. An owner's silence of the store is the shorter of what its appends and its reads show. A call is answered within 0.45 of the caller's patience, and a link waits no longer than that.

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -106,7 +106,7 @@
   private JobAnswer repeat(JobCall call, boolean undecidedBefore) {
     boolean undecided = undecidedBefore;
     long ownerUntil = Time.steadyMillis() + OWNER_WAIT_MILLIS;
-    long last = call.deadlineMillis() - RETURN_MILLIS;
+    long last = call.answerByMillis() - RETURN_MILLIS;
     String why = "the jobs have no owner";
     while (Time.steadyMillis() < last && !closing) {
       JobAnswer answer = once(call);
@@ -141,7 +141,7 @@
    */
   private JobAnswer once(JobCall call) {
     Optional<JobOwner> mine = terms.current();
-    long left = call.deadlineMillis() - Time.steadyMillis();
+    long left = call.answerByMillis() - Time.steadyMillis();
     if (mine.isPresent()) {
       return await(mine.get().call(call), Math.min(left, REPLY_MILLIS));
     }
@@ -154,7 +154,8 @@
         new CallQuery(
             call.request(), call.verb().name(), call.queue(), call.job(), body, owner.term(), left);
     try {
-      Optional<PeerMessage> reply = links.ask(owner.address(), query);
+      int wait = (int) Math.max(1, Math.min(left, REPLY_MILLIS));
+      Optional<PeerMessage> reply = links.ask(owner.address(), query, wait);
       return reply.orElse(null) instanceof CallReply r
           ? decode(r)
           : new JobAnswer.Undecided("the owner's reply cannot be read");
--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -42,6 +42,12 @@
   /** Deadline of a caller that names none, in milliseconds. */
   private static final long DEFAULT_DEADLINE_MILLIS = 3_000;
 
+  /**
+   * Part of a caller's patience after which it is told what is known, so that it has time to come
+   * back, at another entry or when there is an owner again.
+   */
+  private static final double HELD_PART = 0.45;
+
   /** Advice to callers before the first configuration, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 1_000;
 
@@ -144,7 +150,12 @@
     }
     JobCall call =
         new JobCall(
-            id, verb.get(), route.get().rules().queue(), job, submission, arrived + patience);
+            id,
+            verb.get(),
+            route.get().rules().queue(),
+            job,
+            submission,
+            arrived + Math.round(patience * HELD_PART));
     return router
         .call(call)
         .whenComplete((answer, failure) -> answered(call, answer, table.get(), arrived));
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobCall.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobCall.java
@@ -12,7 +12,7 @@
  * @param queue name of the queue
  * @param job identifier of the job, empty for the queue itself
  * @param submission the job, for a submission
- * @param deadlineMillis steady time at which the caller gives up
+ * @param answerByMillis steady time by which the caller is told what is known
  */
 record JobCall(
     String request,
@@ -20,4 +20,4 @@
     String queue,
     String job,
     Optional<JobRecord> submission,
-    long deadlineMillis) {}
+    long answerByMillis) {}
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -68,7 +68,9 @@
             timing,
             settings.bounds().stateRetention(),
             JobEntry::log);
-    election = new OwnerElection(entry, peerAddress, members, configuration, terms);
+    election =
+        new OwnerElection(
+            entry, peerAddress, settings.processorMillis(), members, configuration, terms);
     router = new CallRouter(election, terms);
     peers = new PeerServer(settings.ip(), settings.peerPort(), this::peerMessage);
     front =
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -349,7 +349,7 @@
       List<Waiting> callers = lists.next();
       callers.removeIf(
           w ->
-              (stalled || steady >= w.call().deadlineMillis())
+              (stalled || steady >= w.call().answerByMillis())
                   && w.answer().complete(new JobAnswer.Undecided("the store has not answered")));
       if (callers.isEmpty()) {
         lists.remove();
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
@@ -47,6 +47,7 @@
 
   private final String entry;
   private final String peerAddress;
+  private final ClaimOrder order;
   private final Members members;
   private final ConfigurationWatch store;
   private final OwnerTerms terms;
@@ -62,11 +63,13 @@
   OwnerElection(
       String entry,
       String peerAddress,
+      int processorMillis,
       Members members,
       ConfigurationWatch store,
       OwnerTerms terms) {
     this.entry = entry;
     this.peerAddress = peerAddress;
+    this.order = new ClaimOrder(entry, processorMillis);
     this.members = members;
     this.store = store;
     this.terms = terms;
@@ -177,7 +180,7 @@
         return;
       }
     }
-    long rank = ClaimOrder.before(entry, owner.entry(), replies, STORE_SILENT_MILLIS);
+    long rank = order.before(owner.entry(), replies, STORE_SILENT_MILLIS);
     if (now - candidateSinceMillis >= rank * HEAD_START_MILLIS) {
       claim();
     }
@@ -253,7 +256,11 @@
 
   private OwnershipReply reply() {
     Optional<JobOwner> mine = terms.current().filter(o -> !o.isDeposed());
-    long silent = mine.map(JobOwner::storeSilentMillis).orElseGet(store::storeSilentMillis);
+    // An owner that is busy hears of its appends late; that the store answers it is known sooner.
+    long silent =
+        Math.min(
+            store.storeSilentMillis(),
+            mine.map(JobOwner::storeSilentMillis).orElse(Long.MAX_VALUE));
     long ownerSilent = mine.isPresent() ? 0 : Time.steadyMillis() - ownerHeardMillis;
     OwnerView known = owner;
     return new OwnershipReply(
@@ -263,7 +270,9 @@
         known.address(),
         mine.isPresent() && mine.get().term() == known.term(),
         ownerSilent,
-        silent);
+        silent,
+        !closing,
+        order.processorMillis());
   }
 
   /**
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -41,6 +41,8 @@
   private static final NodeSettings.Bounds BOUNDS =
       new NodeSettings.Bounds(6_000, 300, 6_000, 120_000);
 
+  private static final int PROCESSOR_MILLIS = 1_000;
+
   private RehearsalCommand() {}
 
   /**
@@ -71,6 +73,7 @@
             ports.get(1),
             ports.get(2),
             ports.get(3),
+            PROCESSOR_MILLIS,
             LOOPBACK + ":" + store.activeLocalPort(),
             BOUNDS);
     try (JobEntry entry = new JobEntry(settings)) {
