Claim only from the owner that was looked at, and count an incarnation as ended only when a later one is known

A candidate named the term to replace when it appended its claim, not when it looked at the owner; one that heard of the new owner in between claimed from that one. And a new owner that was still reading its state answered that it owned nothing, which counted as lost.

Tried and dropped: asking for reports three times as often while some get lost.

--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -156,7 +156,9 @@
       }
       case OrderResult.Rejected rejected -> holdRejected(worker, rejected.reason(), steady);
       case OrderResult.Unanswered unanswered -> {
-        worker.holdEnded(false, steady + RETRY_MILLIS);
+        // A single report that is lost says little of its worker; the next one is asked for at
+        // once.
+        worker.holdEnded(false, wasSilent ? steady + RETRY_MILLIS : steady);
         if (order.notedUpTo() > 0) {
           worker.forgettingLeftOpen(steady);
         }
--- a/entry/src/main/java/org/lavenderstage/entry/duty/Duty.java
+++ b/entry/src/main/java/org/lavenderstage/entry/duty/Duty.java
@@ -7,7 +7,9 @@
 /** A thread that repeats one step until it is closed. A step that fails is logged and repeated. */
 public final class Duty implements AutoCloseable {
   private static final long PAUSE_AFTER_FAILURE_NANOS = 100_000_000;
-  private static final long JOIN_MILLIS = 5_000;
+
+  /** Longest wait for a step to end, in milliseconds; a stop has some seconds for all duties. */
+  private static final long JOIN_MILLIS = 500;
 
   /** One step of a duty. */
   @FunctionalInterface
--- a/entry/src/main/java/org/lavenderstage/entry/job/ConfigurationWatch.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ConfigurationWatch.java
@@ -15,7 +15,7 @@
 /** Keeps the newest configuration in force; while the store is away, the last one stays. */
 final class ConfigurationWatch implements AutoCloseable {
   /** How long one read waits for a change, in milliseconds; well below the time to apply one. */
-  private static final int WAIT_MILLIS = 1_000;
+  private static final int WAIT_MILLIS = 500;
 
   /** Pause after a failed read in milliseconds. */
   private static final long RETRY_MILLIS = 150;
--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -48,6 +48,12 @@
    */
   private static final double HELD_PART = 0.45;
 
+  /** The same for a caller that has little patience left and can hardly come back. */
+  private static final double LARGEST_HELD_PART = 0.85;
+
+  /** Time that a request needs on a busy day, in milliseconds; some appends to a slow store. */
+  private static final long USEFUL_MILLIS = 900;
+
   /** Advice to callers before the first configuration, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 1_000;
 
@@ -155,12 +161,18 @@
             route.get().rules().queue(),
             job,
             submission,
-            arrived + Math.round(patience * HELD_PART));
+            arrived + heldMillis(patience));
     return router
         .call(call)
         .whenComplete((answer, failure) -> answered(call, answer, table.get(), arrived));
   }
 
+  /** Returns how long a caller of some patience is held at most, in milliseconds. */
+  static long heldMillis(long patienceMillis) {
+    double least = Math.min(USEFUL_MILLIS, patienceMillis * LARGEST_HELD_PART);
+    return Math.round(Math.max(patienceMillis * HELD_PART, least));
+  }
+
   private static String path(String target) {
     int query = target.indexOf('?');
     return query < 0 ? target : target.substring(0, query);
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -51,7 +51,7 @@
    */
   public JobEntry(NodeSettings settings) {
     this.settings = settings;
-    entry = settings.vm() + "@" + Long.toHexString(Time.wallMillis());
+    entry = new Incarnation(settings.vm(), Time.wallMillis()).toString();
     String peerAddress = settings.ip() + ":" + settings.peerPort();
     store = new PlatformStore(http, settings.storeAddress());
     configuration = new ConfigurationWatch(store);
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
@@ -17,9 +17,9 @@
 
   /**
    * Time from the signal to end until the last answer, in milliseconds: two missed readiness
-   * checks, a second apart, and some requests on connections that are open.
+   * checks, a second apart, and a request on its way.
    */
-  private static final long NOTICE_MILLIS = 3_200;
+  private static final long NOTICE_MILLIS = 2_300;
 
   /** Part of the time to end that is kept for the last answers, in milliseconds. */
   private static final long LAST_ANSWERS_MILLIS = 1_500;
@@ -84,6 +84,7 @@
       Thread.currentThread().interrupt();
     }
     entry.close();
+    EventLog.flush();
     Runtime.getRuntime().halt(0);
   }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/job/Members.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/Members.java
@@ -56,9 +56,14 @@
     return known.values().stream().filter(m -> !m.entry().equals(entry)).toList();
   }
 
-  /** Tells whether another process has announced itself at an incarnation's address since. */
+  /**
+   * Tells whether a later process on the same VM has announced itself, so that an incarnation has
+   * certainly ended. One whose announcement was not read yet is not replaced.
+   */
   boolean isReplaced(String incarnation) {
-    return isComplete() && !known.containsKey(incarnation);
+    return Incarnation.parse(incarnation)
+        .map(ended -> known.keySet().stream().anyMatch(other -> ended.isBefore(other)))
+        .orElse(false);
   }
 
   /** Returns the member that announced the highest term. */
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
@@ -31,8 +31,16 @@
   /** Silence after which an owner counts as lost, in milliseconds; several polls. */
   private static final long OWNER_SILENT_MILLIS = 900;
 
-  /** Silence of the store after which an owner is replaced, in milliseconds. */
-  private static final long STORE_SILENT_MILLIS = 1_300;
+  /**
+   * Silence of the store after which an owner is replaced, in milliseconds; twice what a read that
+   * waits for changes takes.
+   */
+  private static final long STORE_SILENT_MILLIS = 1_000;
+
+  /**
+   * Time for a new owner to read what its workers run before it counts as lost, in milliseconds.
+   */
+  private static final long NEW_OWNER_MILLIS = 1_500;
 
   /** Longest wait for one entry's reply, in milliseconds; many round trips. */
   private static final int REPLY_MILLIS = 350;
@@ -56,6 +64,7 @@
   private final Map<String, Long> followers = new ConcurrentHashMap<>();
   private volatile OwnerView owner = OwnerView.NONE;
   private volatile long ownerHeardMillis;
+  private volatile long learnedMillis;
   private volatile boolean closing;
   private long candidateSinceMillis;
   private Duty duty;
@@ -135,7 +144,11 @@
         boolean lostStore =
             r.storeSilentMillis() > STORE_SILENT_MILLIS
                 && store.storeSilentMillis() < STORE_SILENT_MILLIS;
-        return r.owning() && !lostStore;
+        boolean starting =
+            r.entry().equals(owner.entry())
+                && r.candidate()
+                && Time.steadyMillis() - learnedMillis < NEW_OWNER_MILLIS;
+        return starting || (r.owning() && !lostStore);
       }
     } catch (IOException e) {
       // told below once the silence lasts
@@ -149,15 +162,16 @@
 
   private void standForElection() throws InterruptedException {
     long now = Time.steadyMillis();
+    OwnerView replaced = owner;
     if (candidateSinceMillis == 0) {
       candidateSinceMillis = now;
-      if (owner.term() > 0) {
+      if (replaced.term() > 0) {
         EventLog.warn(
             LogEvent.OWNER_SILENT,
             "term",
-            owner.term(),
+            replaced.term(),
             "owner",
-            owner.entry(),
+            replaced.entry(),
             "silent-ms",
             now - ownerHeardMillis);
       }
@@ -167,22 +181,22 @@
     }
     List<OwnershipReply> replies = askAll();
     for (OwnershipReply reply : replies) {
-      if (reply.term() > owner.term()) {
+      if (reply.term() > replaced.term()) {
         learn(new OwnerView(reply.term(), reply.owner(), reply.ownerAddress()));
         return;
       }
       boolean othersHearIt =
-          reply.term() == owner.term()
-              && owner.term() > 0
+          reply.term() == replaced.term()
+              && replaced.term() > 0
               && reply.ownerSilentMillis() < OWNER_SILENT_MILLIS
               && now - ownerHeardMillis >= OWNER_SILENT_MILLIS;
       if (othersHearIt) {
         return;
       }
     }
-    long rank = order.before(owner.entry(), replies, STORE_SILENT_MILLIS);
+    long rank = order.before(replaced.entry(), replies, STORE_SILENT_MILLIS);
     if (now - candidateSinceMillis >= rank * HEAD_START_MILLIS) {
-      claim();
+      claim(replaced.term());
     }
   }
 
@@ -205,9 +219,10 @@
     return replies;
   }
 
-  private void claim() throws InterruptedException {
+  /** Claims the jobs from the owner of a term; one that was heard of meanwhile keeps them. */
+  private void claim(long replacedTerm) throws InterruptedException {
     OwnerTerms.Claim claim =
-        terms.claim(entry, peerAddress, owner.term(), members::isReplaced, this::isFollowed);
+        terms.claim(entry, peerAddress, replacedTerm, members::isReplaced, this::isFollowed);
     if (claim instanceof OwnerTerms.Claim.Overtaken overtaken) {
       learn(overtaken.owner());
     }
@@ -237,6 +252,7 @@
     }
     owner = next;
     ownerHeardMillis = Time.steadyMillis();
+    learnedMillis = ownerHeardMillis;
     candidateSinceMillis = 0;
     EventLog.info(LogEvent.OWNER_CHANGED, "term", next.term(), "owner", next.entry());
     terms.current().filter(mine -> mine.term() < next.term()).ifPresent(mine -> terms.end());
@@ -280,7 +296,7 @@
    */
   void release() {
     closing = true;
-    terms.end();
+    terms.close();
   }
 
   @Override
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
@@ -40,6 +40,7 @@
   private final long retentionMillis;
   private final DecisionLog decisions;
   private volatile Optional<JobOwner> current = Optional.empty();
+  private volatile boolean closing;
   private Duty listings;
 
   OwnerTerms(
@@ -91,7 +92,7 @@
       throws InterruptedException {
     KeyedCache cache = new KeyedCache(log, LogTopic.JOBS);
     Map<String, byte[]> state = new HashMap<>();
-    for (int i = 0; i < CLAIM_TRIES; i++) {
+    for (int i = 0; i < CLAIM_TRIES && !closing; i++) {
       if (!readOn(cache, state)) {
         return new Claim.Failed();
       }
@@ -116,7 +117,7 @@
               log.append(LogTopic.JOBS, OptionalLong.of(cache.next()), List.of(record)));
       if (result instanceof KeyedLog.Append.Stored stored) {
         return new Claim.Won(
-            begin(term, isGone.test(found.entry()), state, stored.end(), peersAgree));
+            begin(term, hasNoFormer(found, isGone), state, stored.end(), peersAgree));
       }
       if (!(result instanceof KeyedLog.Append.EndMoved)) {
         EventLog.warn(LogEvent.OWNER_CLAIM_FAILED, "term", term, "cause", result);
@@ -125,6 +126,10 @@
     return new Claim.Failed();
   }
 
+  private static boolean hasNoFormer(OwnerView found, Predicate<String> isGone) {
+    return found.entry().isEmpty() || isGone.test(found.entry());
+  }
+
   private static boolean readOn(KeyedCache cache, Map<String, byte[]> state)
       throws InterruptedException {
     switch (cache.poll(0)) {
@@ -211,6 +216,12 @@
     Thread.sleep(LISTING_MILLIS);
   }
 
+  /** Ends the current term, and lets a claim that is under way give up. */
+  void close() {
+    closing = true;
+    end();
+  }
+
   /** Ends the current term, if there is one. */
   synchronized void end() {
     if (current.isPresent()) {
--- a/wire/src/main/java/org/lavenderstage/wire/event/EventLog.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/EventLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.lavenderstage.wire.codec.JsonCodec;
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 
 /** Writes numbered events with named values through tinylog, as key=value pairs or JSON. */
 public final class EventLog {
@@ -42,6 +43,15 @@
     Logger.warn(line(event, namesAndValues));
   }
 
+  /** Writes what still waits to be written, and ends the log; called last in a process. */
+  public static void flush() {
+    try {
+      ProviderRegistry.getLoggingProvider().shutdown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   static String line(LogEvent event, Object... namesAndValues) {
     Map<String, String> fields = new LinkedHashMap<>();
     fields.put("event", event.label());
