Keep links to a slow owner open, and claim at once after a process that is known to have ended

Since callers are told sooner, the link's wait was cut to what the caller had left; a late reply then closed the link, and the owner on 0.3 of a core paid for a new connection and a new thread for each. The caller's time is now kept by a timer, and the link waits for its reply.

Ruled out: a saturated owner (0.14 of its 0.3 cores; its decisions went on).

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -1,5 +1,6 @@
 package org.lavenderstage.core.pool;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -125,6 +126,7 @@
   void reported(
       Worker worker, WorkerReport report, long sentAt, long steady, long wall, List<Order> orders) {
     Set<Run> seen = new HashSet<>();
+    List<String> adopted = new ArrayList<>();
     for (WorkerReport.EndedTask end : report.ended()) {
       if (end.number() > worker.seenUpTo()) {
         worker.seen(end.number());
@@ -132,7 +134,10 @@
       }
     }
     for (WorkerReport.RunningTask row : report.running()) {
-      running(worker, row, seen, steady, orders);
+      running(worker, row, seen, adopted, steady, orders);
+    }
+    if (!adopted.isEmpty()) {
+      log.record(Decision.RUN_ADOPTED, "worker", worker.id(), "runs", String.join(" ", adopted));
     }
     if (report.ended().size() < WorkerReport.MAX_ENDED) {
       dropMissing(worker, seen, sentAt);
@@ -140,11 +145,17 @@
   }
 
   private void running(
-      Worker worker, WorkerReport.RunningTask row, Set<Run> seen, long steady, List<Order> orders) {
+      Worker worker,
+      WorkerReport.RunningTask row,
+      Set<Run> seen,
+      List<String> adopted,
+      long steady,
+      List<Order> orders) {
     Optional<Task> known = jobs.task(row.task());
     Optional<Run> run = worker.run(row.task(), row.attempt());
     if (run.isEmpty() && known.isPresent() && mayAdopt(known.get())) {
       run = Optional.of(adopt(worker, known.get(), row, steady));
+      adopted.add(row.task() + "/" + row.attempt());
     }
     if (run.isEmpty()) {
       log.record(
@@ -165,11 +176,9 @@
     return free && !task.isDone() && task.step().job().isActive();
   }
 
-  private Run adopt(Worker worker, Task task, WorkerReport.RunningTask row, long steady) {
+  private static Run adopt(Worker worker, Task task, WorkerReport.RunningTask row, long steady) {
     Run run = new Run(task, row.attempt(), worker.id(), Run.State.RUNNING, steady);
     track(worker, run);
-    log.record(
-        Decision.RUN_ADOPTED, "task", row.task(), "attempt", row.attempt(), "worker", worker.id());
     return run;
   }
 
--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -100,7 +100,19 @@
               ? new JobAnswer.Undecided("too many requests wait")
               : new JobAnswer.Rejected("too many requests wait", NO_OWNER_RETRY_MILLIS));
     }
-    return answer;
+    return inTime(answer, call.answerByMillis() - Time.steadyMillis());
+  }
+
+  /**
+   * Lets a caller know in time that its request is undecided. The link to the owner goes on to wait
+   * for the reply: to close it would cost a busy owner a new connection for each late reply.
+   */
+  static CompletableFuture<JobAnswer> inTime(
+      CompletableFuture<JobAnswer> answer, long remainingMillis) {
+    return answer.completeOnTimeout(
+        new JobAnswer.Undecided("the owner of the jobs gave no answer in time"),
+        Math.max(1, remainingMillis),
+        TimeUnit.MILLISECONDS);
   }
 
   private JobAnswer repeat(JobCall call, boolean undecidedBefore) {
@@ -154,8 +166,7 @@
         new CallQuery(
             call.request(), call.verb().name(), call.queue(), call.job(), body, owner.term(), left);
     try {
-      int wait = (int) Math.max(1, Math.min(left, REPLY_MILLIS));
-      Optional<PeerMessage> reply = links.ask(owner.address(), query, wait);
+      Optional<PeerMessage> reply = links.ask(owner.address(), query);
       return reply.orElse(null) instanceof CallReply r
           ? decode(r)
           : new JobAnswer.Undecided("the owner's reply cannot be read");
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
@@ -74,7 +74,8 @@
   }
 
   /**
-   * Claims the jobs from the owner of a term; a newer claim in the log stays.
+   * Claims the jobs from the owner of a term; a newer claim in the log stays, unless the process
+   * that made it has ended too.
    *
    * @param entry incarnation of this entry
    * @param peerAddress host and port of this entry's peer link
@@ -97,7 +98,7 @@
         return new Claim.Failed();
       }
       OwnerView found = ownerIn(state);
-      if (found.term() > replacedTerm) {
+      if (found.term() > replacedTerm && !isGone.test(found.entry())) {
         EventLog.info(
             LogEvent.OWNER_CLAIM_FAILED,
             "replaced",
--- a/entry/src/main/java/org/lavenderstage/entry/job/PeerLinks.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/PeerLinks.java
@@ -21,17 +21,10 @@
     this.timeoutMillis = timeoutMillis;
   }
 
-  /** Asks an entry within the usual time. */
+  /** Asks an entry; a link that fails is not used again. */
   Optional<PeerMessage> ask(String address, PeerMessage question) throws IOException {
-    return ask(address, question, timeoutMillis);
-  }
-
-  /** Asks an entry within a time in milliseconds; a link that fails is not used again. */
-  Optional<PeerMessage> ask(String address, PeerMessage question, int waitMillis)
-      throws IOException {
     PeerLink link = take(address);
     try {
-      link.waitAtMost(waitMillis);
       Optional<PeerMessage> reply = link.ask(question);
       giveBack(address, link);
       return reply;
--- a/entry/src/main/java/org/lavenderstage/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/lavenderstage/entry/peer/PeerLink.java
@@ -14,7 +14,7 @@
 /** A link to one peer; each call opens a connection where none is open. */
 public final class PeerLink implements AutoCloseable {
   private final String address;
-  private int timeoutMillis;
+  private final int timeoutMillis;
   private Socket socket;
   private DataInputStream in;
   private DataOutputStream out;
@@ -30,19 +30,6 @@
     this.timeoutMillis = timeoutMillis;
   }
 
-  /**
-   * Changes how long the next calls may take.
-   *
-   * @param millis longest wait to connect and for a reply in milliseconds
-   * @throws IOException where the link has failed
-   */
-  public synchronized void waitAtMost(int millis) throws IOException {
-    timeoutMillis = millis;
-    if (socket != null) {
-      socket.setSoTimeout(millis);
-    }
-  }
-
   /**
    * Sends a message that asks for no reply.
    *
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerTermsTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerTermsTest.java
@@ -74,6 +74,13 @@
     assertEquals(new OwnerView(1, "a", "a:1"), overtaken.owner());
   }
 
+  @Test
+  void aClaimGoesOnWhereTheProcessOfTheNewerOneHasEnded() throws InterruptedException {
+    claim(first, "a", 0);
+    OwnerTerms.Claim later = second.claim("b", "b:1", 0, "a"::equals, () -> true);
+    assertEquals(2, assertInstanceOf(OwnerTerms.Claim.Won.class, later).owner().term());
+  }
+
   @Test
   void anAcceptedJobIsKnownToTheNextOwner() throws Exception {
     claim(first, "a", 0);
