Let the lease of a silent worker run out

Every order to report that was sent to a silent worker asked for a longer lease, and so did each repeated start; the time by which the lease is over moved on for ever.

Orders to report carry no lease while the latest one got no answer, and starts are not repeated meanwhile. JobSchedulerTest tasksOfAWorkerThatNeverAnswersAgainRunElsewhereOnceItsLeaseIsOver failed before, at the first task. Ruled out: the room that is kept for urgent tasks (the tasks were not waiting, they counted as running).

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -260,7 +260,8 @@
       if (!run.isOrderDue(steady)) {
         continue;
       }
-      if (run.state() == Run.State.STARTING && worker.isClockKnown()) {
+      boolean mayStart = worker.isClockKnown() && !worker.isSilent();
+      if (run.state() == Run.State.STARTING && mayStart) {
         run.orderSent();
         orders.add(new Order.Start(worker, run, workers.leaseOn(worker, steady)));
       } else if (run.state() == Run.State.STOPPING) {
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -178,7 +178,7 @@
    * numbers its ends from 1 again, and must not forget any that were never seen.
    */
   long endsToForget() {
-    return greeted && failedHolds == 0 && notedUpTo > forgottenUpTo ? notedUpTo : 0;
+    return greeted && !isSilent() && notedUpTo > forgottenUpTo ? notedUpTo : 0;
   }
 
   void forgot(long number) {
@@ -207,8 +207,9 @@
     nextHoldMillis = Math.min(nextHoldMillis, steadyMillis);
   }
 
-  int failedHolds() {
-    return failedHolds;
+  /** Tells whether the latest order to report got no answer. */
+  boolean isSilent() {
+    return failedHolds > 0;
   }
 
   boolean isBlocked(long steadyMillis) {
@@ -228,7 +229,7 @@
     return registered
         && greeted
         && clockKnown
-        && failedHolds == 0
+        && !isSilent()
         && listing.isPresent()
         && !listing.get().draining()
         && !isBlocked(steadyMillis);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -101,11 +101,11 @@
       if (worker.listing().map(WorkerListing::draining).orElse(false)) {
         runs.evacuate(worker, steady);
       }
-      if (leaseOver && worker.failedHolds() > 0 && !worker.isIdle()) {
+      if (leaseOver && worker.isSilent() && !worker.isIdle()) {
         loseAll(worker, "lease over");
       }
       boolean empty = worker.isGreeted() && worker.isIdle() && worker.openStarts(steady).isEmpty();
-      if ((leaseOver || empty) && worker.failedHolds() > 0 && worker.listing().isEmpty()) {
+      if ((leaseOver || empty) && worker.isSilent() && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         forget(worker);
         all.remove();
@@ -122,10 +122,14 @@
     }
   }
 
+  /**
+   * Asks for a report, and extends the lease with it. That of a silent worker is left to run out,
+   * or its tasks would never be known to be over.
+   */
   private Order hold(Worker worker, long steady) {
     worker.holdSent();
     long lease = 0;
-    if (worker.isClockKnown() && worker.isGreeted()) {
+    if (worker.isClockKnown() && worker.isGreeted() && !worker.isSilent()) {
       lease = leaseOn(worker, steady);
     }
     boolean wait = worker.isGreeted() && worker.seenUpTo() == worker.notedUpTo();
@@ -145,7 +149,7 @@
     if (workers.get(worker.id()) != worker) {
       return;
     }
-    boolean wasSilent = worker.failedHolds() > 0;
+    boolean wasSilent = worker.isSilent();
     switch (result) {
       case OrderResult.Reported reported -> {
         worker.holdEnded(true, steady);
--- a/core/src/test/java/org/lavenderstage/core/pool/JobSchedulerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/JobSchedulerTest.java
@@ -49,6 +49,23 @@
     assertEquals(List.of(), world.oracle.broken);
   }
 
+  @Test
+  void tasksOfAWorkerThatNeverAnswersAgainRunElsewhereOnceItsLeaseIsOver() {
+    PoolWorld world = new PoolWorld(SEED, 3);
+    Job job = world.submit(List.of(PoolWorld.lasting(6, 1_000)), 0);
+    world.run(1_000);
+    world.workers.get(0).cut = true;
+    Job later = world.submit(List.of(PoolWorld.lasting(3, 1_000)), 0);
+    world.run(9_000);
+    for (Job lasting : List.of(job, later)) {
+      for (int i = 0; i < lasting.record().steps().get(0).count(); i++) {
+        TaskId task = new TaskId(lasting.id(), 0, 0, i);
+        assertTrue(world.oracle.isRunning(task), lasting.id() + " task " + i);
+      }
+    }
+    assertEquals(List.of(), world.oracle.broken);
+  }
+
   @Test
   void tasksOfASilentWorkerStartElsewhereOnlyAfterTheirLease() {
     PoolWorld world = new PoolWorld(SEED, 2);
