--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -29,6 +29,7 @@
   private int load;
   private int pacePercent = 100;
   private long paceSinceMillis;
+  private int unansweredStarts;
 
   /**
    * Makes a run that is about to be ordered.
@@ -124,6 +125,21 @@
     return !callInFlight && steadyMillis >= retryAtMillis;
   }
 
+  /** Notes that a copy of the order to start the run got no answer. */
+  public void startUnanswered() {
+    unansweredStarts++;
+  }
+
+  /**
+   * Counts the copies of the order to start the run that got no answer; the worker may have carried
+   * out each of them, or may still do so.
+   *
+   * @return the count
+   */
+  public int unansweredStarts() {
+    return unansweredStarts;
+  }
+
   /** Notes that an order was sent. */
   public void orderSent() {
     callInFlight = true;
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -54,6 +54,7 @@
   void startEnded(Worker worker, Run run, OrderResult result, long steady) {
     if (result instanceof OrderResult.Unanswered) {
       worker.startLeftOpen(run.task().id(), run.attempt(), steady);
+      run.startUnanswered();
     }
     run.orderEnded(steady + REPEAT_MILLIS);
     if (worker.run(run.task().id(), run.attempt()).isEmpty()) {
@@ -75,7 +76,15 @@
   }
 
   private void startRejected(Worker worker, Run run, Rejection reason, long steady) {
-    note(Decision.ORDER_REJECTED, run, "order", "start", "reason", reason);
+    note(
+        Decision.ORDER_REJECTED,
+        run,
+        "order",
+        "start",
+        "reason",
+        reason,
+        "unanswered-copies",
+        run.unansweredStarts());
     switch (reason) {
       case FENCED -> fenced = true;
       case OUTDATED -> {
@@ -333,33 +342,12 @@
   }
 
   /** Records a decision about a run, with further names and values in turn. */
-  private void note(Decision decision, Run run, String name, Object value) {
-    log.record(
-        decision,
-        "task",
-        run.task().id(),
-        "attempt",
-        run.attempt(),
-        "worker",
-        run.worker(),
-        name,
-        value);
-  }
-
-  private void note(
-      Decision decision, Run run, String name, Object value, String secondName, Object second) {
-    log.record(
-        decision,
-        "task",
-        run.task().id(),
-        "attempt",
-        run.attempt(),
-        "worker",
-        run.worker(),
-        name,
-        value,
-        secondName,
-        second);
+  private void note(Decision decision, Run run, Object... namesAndValues) {
+    List<Object> all =
+        new ArrayList<>(
+            List.of("task", run.task().id(), "attempt", run.attempt(), "worker", run.worker()));
+    all.addAll(List.of(namesAndValues));
+    log.record(decision, all.toArray());
   }
 
   /** Ends the account of a run. */
