Model more faults in the simulated pool

Workers may refuse starts as unhealthy or for room that something else takes, stops may take a while, workers may move to another address, listings may go, come back and arrive late, and a former owner may go on beside the new one.

--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -0,0 +1,215 @@
+package org.lavenderstage.core.pool;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.StepSpec;
+
+/**
+ * Plays days of random jobs under those faults that a test names, beside the plain ones: orders
+ * that are lost, answered late or carried out late, crashes, cuts and new owners.
+ */
+final class PoolFaults {
+  private static final int WORKERS = 4;
+  private static final int ROUNDS = 40;
+  private static final int LONGEST_ROUND_MILLIS = 800;
+  private static final long QUIET_MILLIS = 20_000;
+
+  /** A fault that may happen in a day. */
+  enum Fault {
+    /** Workers call themselves unhealthy for a while and do nothing about starts. */
+    UNHEALTHY,
+    /** Workers have less room for a while than the owner knows. */
+    TAKEN_ROOM,
+    /** Workers crash and restart in place. */
+    CRASH,
+    /** Workers restart under their identifier at another address, or another's old one. */
+    MOVE,
+    /** Workers are cut off and run on. */
+    CUT,
+    /** Workers are cut off from the owner alone. */
+    OWNER_CUT,
+    /** Owners are replaced and end. */
+    NEW_OWNER,
+    /** A former owner goes on beside the new one for as long as its claim counts as proved. */
+    FORMER_OWNER,
+    /** A former owner goes on for longer, because the entries that it reaches follow it. */
+    FOLLOWED_FORMER_OWNER,
+    /** Listings go and come back, and changes of them arrive late. */
+    LISTINGS,
+    /** The store is down for a while. */
+    STORE_DOWN,
+    /** The store is slow. */
+    STORE_SLOW,
+    /** Jobs are cancelled. */
+    CANCEL,
+    /** Steps that keep checkpoints, and may be stopped for more urgent ones. */
+    CHECKPOINTS,
+    /** Steps that last. */
+    LASTING,
+    /** A stop takes a while. */
+    SLOW_STOPS
+  }
+
+  /** Longest time that an owner gives orders after its claim was proved last, in milliseconds. */
+  private static final int PROOF_MILLIS = 2_000;
+
+  /** Longest time that a followed owner without the store gives orders, in milliseconds. */
+  private static final int FOLLOWED_MILLIS = 12_000;
+
+  private PoolFaults() {}
+
+  /** Plays a day and returns the world after it. */
+  static PoolWorld play(long seed, Set<Fault> faults) {
+    PoolWorld world = new PoolWorld(seed, WORKERS);
+    Random random = world.faults;
+    List<Fault> all = new ArrayList<>(faults);
+    boolean listings = faults.contains(Fault.LISTINGS) || faults.contains(Fault.MOVE);
+    world.listingsToldOnce = listings;
+    world.listingLagMillis = faults.contains(Fault.LISTINGS) ? random.nextInt(3_000) : 0;
+    world.lateOrdersPassCuts = true;
+    if (faults.contains(Fault.SLOW_STOPS)) {
+      world.workers.forEach(worker -> worker.stopMillis = random.nextInt(200));
+    }
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < ROUNDS && world.oracle.broken.isEmpty(); i++) {
+      switch (random.nextInt(10)) {
+        case 0, 1, 2 -> jobs.add(world.submit(steps(random, faults), random.nextInt(3)));
+        case 3 -> world.lateOrders = random.nextInt(3) * 0.1;
+        case 4 -> world.lostAnswers = random.nextInt(3) * 0.1;
+        default -> happen(world, random, all.get(random.nextInt(all.size())), jobs);
+      }
+      world.run(random.nextInt(LONGEST_ROUND_MILLIS));
+    }
+    world.lateOrders = 0;
+    world.lostAnswers = 0;
+    world.storeDown = false;
+    world.beyondOwner.clear();
+    world.beyondFormer.clear();
+    world.unlisted.clear();
+    for (SimulatedWorker worker : world.workers) {
+      worker.cut = false;
+      worker.takenCpuMillis = 0;
+      if (!worker.up) {
+        worker.restart(world.now);
+      }
+    }
+    if (world.oracle.broken.isEmpty()) {
+      world.run(QUIET_MILLIS);
+    }
+    return world;
+  }
+
+  /** Plays days and returns the first broken promise of each that has one, by seed. */
+  static Map<Long, String> playAll(long firstSeed, int count, Set<Fault> faults) {
+    Map<Long, String> broken = new TreeMap<>();
+    for (long seed = firstSeed; seed < firstSeed + count; seed++) {
+      PoolWorld world = play(seed, faults);
+      if (!world.oracle.broken.isEmpty()) {
+        broken.put(seed, world.oracle.broken.get(0));
+      }
+    }
+    return broken;
+  }
+
+  static Set<Fault> of(Fault first, Fault... rest) {
+    return EnumSet.of(first, rest);
+  }
+
+  private static void happen(PoolWorld world, Random random, Fault fault, List<Job> jobs) {
+    SimulatedWorker worker = world.workers.get(random.nextInt(world.workers.size()));
+    switch (fault) {
+      case UNHEALTHY -> worker.unhealthyUntil = world.now + random.nextInt(3_000);
+      case TAKEN_ROOM -> worker.takenCpuMillis = random.nextInt(3) * 2_000;
+      case CRASH -> crashOrRestart(world, worker);
+      case MOVE -> move(world, worker, random);
+      case CUT -> worker.cut = !worker.cut;
+      case OWNER_CUT -> toggle(world.beyondOwner, worker);
+      case NEW_OWNER -> world.replaceOwner();
+      case FORMER_OWNER -> replaceOwner(world, random, random.nextInt(PROOF_MILLIS));
+      case FOLLOWED_FORMER_OWNER -> replaceOwner(world, random, random.nextInt(FOLLOWED_MILLIS));
+      case LISTINGS -> toggle(world.unlisted, worker);
+      case STORE_DOWN -> world.storeDown = !world.storeDown;
+      case STORE_SLOW -> world.appendMillis = 5L + random.nextInt(2) * 1_500L;
+      case CANCEL -> {
+        if (!jobs.isEmpty()) {
+          String id = jobs.get(random.nextInt(jobs.size())).id();
+          world.owner.find(id).ifPresent(world::cancel);
+        }
+      }
+      case CHECKPOINTS, LASTING, SLOW_STOPS -> {
+        // in the steps and the workers
+      }
+    }
+  }
+
+  private static void toggle(Set<SimulatedWorker> set, SimulatedWorker worker) {
+    if (!set.remove(worker)) {
+      set.add(worker);
+    }
+  }
+
+  private static void crashOrRestart(PoolWorld world, SimulatedWorker worker) {
+    if (worker.up) {
+      worker.crash(world.now);
+    } else {
+      worker.restart(world.now);
+    }
+  }
+
+  /** Ends a worker's life, or begins the next one at a free address that may be another's. */
+  private static void move(PoolWorld world, SimulatedWorker worker, Random random) {
+    if (worker.up) {
+      worker.crash(world.now);
+      return;
+    }
+    List<String> free = new ArrayList<>();
+    for (int i = 0; i <= WORKERS; i++) {
+      String address = "10.0.0." + i + ":80";
+      if (world.workers.stream().noneMatch(w -> w.up && w.address.equals(address))) {
+        free.add(address);
+      }
+    }
+    worker.restart(world.now, free.get(random.nextInt(free.size())));
+  }
+
+  private static void replaceOwner(PoolWorld world, Random random, long formerMillis) {
+    world.beyondFormer.clear();
+    world.beyondOwner.clear();
+    for (SimulatedWorker worker : world.workers) {
+      switch (random.nextInt(4)) {
+        case 0 -> world.beyondFormer.add(worker);
+        case 1 -> world.beyondOwner.add(worker);
+        default -> {
+          // both reach it
+        }
+      }
+    }
+    world.replaceOwnerBesideFormer(formerMillis);
+  }
+
+  private static List<StepSpec> steps(Random random, Set<Fault> faults) {
+    List<StepSpec> steps = new ArrayList<>();
+    int count = 1 + random.nextInt(3);
+    boolean lasting = faults.contains(Fault.LASTING) && random.nextInt(4) == 0;
+    for (int i = 0; i < count; i++) {
+      int[] before = i == 0 ? new int[0] : new int[] {random.nextInt(i)};
+      int tasks = 1 + random.nextInt(5);
+      int cpuMillis = 500 + random.nextInt(3_000);
+      long millis = 100L + random.nextInt(2_500);
+      if (lasting) {
+        steps.add(PoolWorld.lasting(tasks, cpuMillis));
+      } else if (faults.contains(Fault.CHECKPOINTS) && random.nextBoolean()) {
+        steps.add(PoolWorld.checkpointing(tasks, cpuMillis, millis, before));
+      } else {
+        steps.add(PoolWorld.step(tasks, cpuMillis, millis, before));
+      }
+    }
+    return steps;
+  }
+}
