Show that a rejected copy of a start makes its task run twice

A start that got no answer is repeated with the same attempt. Where a repeat is rejected (unhealthy, no room), the run is given up and its task starts elsewhere, while the earlier copy runs already or is carried out later.

--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -73,6 +73,7 @@
     world.listingsToldOnce = listings;
     world.listingLagMillis = faults.contains(Fault.LISTINGS) ? random.nextInt(3_000) : 0;
     world.lateOrdersPassCuts = true;
+    world.reportsWaitForEnds = true;
     if (faults.contains(Fault.SLOW_STOPS)) {
       world.workers.forEach(worker -> worker.stopMillis = random.nextInt(200));
     }
@@ -96,7 +97,8 @@
       worker.cut = false;
       worker.takenCpuMillis = 0;
       if (!worker.up) {
-        worker.restart(world.now);
+        List<String> free = freeAddresses(world);
+        worker.restart(world.now, free.contains(worker.address) ? worker.address : free.get(0));
       }
     }
     if (world.oracle.broken.isEmpty()) {
@@ -168,6 +170,12 @@
       worker.crash(world.now);
       return;
     }
+    List<String> free = freeAddresses(world);
+    worker.restart(world.now, free.get(random.nextInt(free.size())));
+  }
+
+  /** Returns the addresses that no worker has; that of a worker that is down is among them. */
+  private static List<String> freeAddresses(PoolWorld world) {
     List<String> free = new ArrayList<>();
     for (int i = 0; i <= WORKERS; i++) {
       String address = "10.0.0." + i + ":80";
@@ -175,7 +183,7 @@
         free.add(address);
       }
     }
-    worker.restart(world.now, free.get(random.nextInt(free.size())));
+    return free;
   }
 
   private static void replaceOwner(PoolWorld world, Random random, long formerMillis) {
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolRefusalTest.java
@@ -0,0 +1,94 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
+
+/** A worker that refuses one copy of a start says nothing about the copies before it. */
+class PoolRefusalTest {
+  private static final long SEED = 1;
+
+  /** Longest wait for the answer to a start, in milliseconds; as the platform's client waits. */
+  private static final long TIMEOUT_MILLIS = 500;
+
+  private static final long LATE_MILLIS = 2_500;
+  private static final long ILL_MILLIS = 500;
+
+  /** Plays one task of which the first order gets no answer, and the second is refused. */
+  private static void play(
+      Optional<PoolWorld.Fate> first, BiConsumer<PoolWorld, SimulatedWorker> refusal) {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.reportsWaitForEnds = true;
+    world.timeoutMillis = TIMEOUT_MILLIS;
+    world.run(50);
+    List<String> ordered = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (!(order instanceof Order.Start start)) {
+            return PoolWorld.Fate.prompt();
+          }
+          ordered.add(start.worker().id());
+          if (ordered.size() == 1) {
+            return first;
+          }
+          if (ordered.size() == 2) {
+            world.workers.stream()
+                .filter(w -> w.id.equals(start.worker().id()))
+                .forEach(w -> refusal.accept(world, w));
+          }
+          return PoolWorld.Fate.prompt();
+        };
+    Job job = world.submit(List.of(PoolWorld.step(1, 2_000, 4_000)), 0);
+    world.run(1_500);
+    world.workers.forEach(worker -> worker.takenCpuMillis = 0);
+    world.run(12_000);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    assertEquals(JobPhase.COMPLETED, job.storedPhase());
+  }
+
+  /** A start that ran without an answer was released when a later copy met an ill worker. */
+  @Test
+  @Tag("known-red")
+  void aRunWhoseAnswerWasLostDoesNotStartElsewhereWhileItsWorkerCallsItselfUnhealthy() {
+    play(
+        PoolWorld.Fate.unanswered(),
+        (world, worker) -> worker.unhealthyUntil = world.now + ILL_MILLIS);
+  }
+
+  /** A start that was held back began on the ill worker after its task had begun elsewhere. */
+  @Test
+  @Tag("known-red")
+  void aStartThatIsCarriedOutLateDoesNotRunBesideAnotherAfterItsWorkerWasUnhealthy() {
+    play(
+        PoolWorld.Fate.late(LATE_MILLIS),
+        (world, worker) -> worker.unhealthyUntil = world.now + ILL_MILLIS);
+  }
+
+  /** A start that was held back began once there was room, after its task had begun elsewhere. */
+  @Test
+  @Tag("known-red")
+  void aStartThatIsCarriedOutLateDoesNotRunBesideAnotherAfterItsWorkerHadNoRoom() {
+    play(
+        PoolWorld.Fate.late(LATE_MILLIS),
+        (world, worker) -> worker.takenCpuMillis = worker.cpuMillis);
+  }
+
+  /** Guards against the repair of the above starving a task: an answered refusal is final. */
+  @Test
+  void aTaskStartsElsewhereAtOnceWhereEveryOrderWasRefused() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.run(200);
+    world.workers.get(0).unhealthyUntil = Long.MAX_VALUE;
+    Job job = world.submit(List.of(PoolWorld.step(4, 2_000, 500)), 0);
+    world.run(2_000);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    assertEquals(JobPhase.COMPLETED, job.storedPhase());
+  }
+}
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
@@ -27,7 +27,6 @@
 final class PoolWorld {
   private static final long STEP_MILLIS = 10;
   private static final long NETWORK_MILLIS = 2;
-  private static final long TIMEOUT_MILLIS = 700;
   private static final int LONGEST_LATE_MILLIS = 9_000;
 
   final TaskOracle oracle = new TaskOracle();
@@ -55,6 +54,9 @@
   /** How long the change of a listing takes to reach the owner, in milliseconds. */
   long listingLagMillis;
 
+  /** Whether a worker waits with its report for an end, as long as the order lets it. */
+  boolean reportsWaitForEnds;
+
   /** Workers that are not listed though they may be up. */
   final Set<SimulatedWorker> unlisted = new HashSet<>();
 
@@ -70,6 +72,9 @@
   /** For draws that days without the faults above do not make. */
   final Random faults;
 
+  /** How long an owner waits for an answer, in milliseconds. */
+  long timeoutMillis = 700;
+
   /** How long an append takes, in milliseconds. */
   long appendMillis = 5;
 
@@ -252,15 +257,44 @@
               receiver(address)
                   .filter(worker -> isReached(worker, sender))
                   .map(worker -> carryOut(worker, order, senderTerm, fails));
-          if (result.isPresent() && !lost) {
+          if (result.isPresent() && !lost && reportsWaitForEnds && order instanceof Order.Hold h) {
+            reportOnceDue(h, sender, result.get(), now + h.waitMillis());
+          } else if (result.isPresent() && !lost) {
             long wait = order instanceof Order.Hold hold ? Math.min(50, hold.waitMillis()) : 0;
             after(NETWORK_MILLIS + wait, () -> answer(sender, order, result.get()));
           } else {
-            after(TIMEOUT_MILLIS, () -> answer(sender, order, new OrderResult.Unanswered("lost")));
+            after(timeoutMillis, () -> answer(sender, order, new OrderResult.Unanswered("lost")));
           }
         });
   }
 
+  /** Answers with a report once it lists an end or the time to wait is over. */
+  private void reportOnceDue(Order.Hold hold, JobScheduler sender, OrderResult made, long until) {
+    boolean endListed =
+        !(made instanceof OrderResult.Reported reported) || !reported.report().ended().isEmpty();
+    if (endListed || now >= until) {
+      after(NETWORK_MILLIS, () -> answer(sender, hold, made));
+      return;
+    }
+    String address = hold.worker().address();
+    long life = ((OrderResult.Reported) made).report().bornMillis();
+    after(
+        STEP_MILLIS,
+        () -> {
+          Optional<SimulatedWorker> worker =
+              receiver(address).filter(w -> w.born == life && isReached(w, sender));
+          worker.ifPresentOrElse(
+              w -> {
+                w.advance(now);
+                reportOnceDue(hold, sender, w.reportNow(now), until);
+              },
+              () ->
+                  after(
+                      timeoutMillis,
+                      () -> answer(sender, hold, new OrderResult.Unanswered("lost"))));
+        });
+  }
+
   private boolean chance(double probability) {
     return random.nextDouble() < probability;
   }
@@ -283,7 +317,7 @@
             }
           });
     }
-    after(TIMEOUT_MILLIS, () -> answer(sender, order, new OrderResult.Unanswered("late")));
+    after(timeoutMillis, () -> answer(sender, order, new OrderResult.Unanswered("late")));
   }
 
   /** Returns the worker at an address, one that is up where there are several. */
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
@@ -116,6 +116,10 @@
     }
   }
 
+  boolean runs(TaskId task) {
+    return running.containsKey(task);
+  }
+
   /** Returns what runs here, with the pace of each. */
   List<SimulatedInterference.Share> shares() {
     List<SimulatedInterference.Share> shares = new ArrayList<>();
@@ -214,6 +218,11 @@
       }
     }
     ended.removeIf(end -> end.number() <= hold.notedUpTo());
+    return reportNow(now);
+  }
+
+  /** Reports what runs and what has ended. */
+  OrderResult reportNow(long now) {
     List<WorkerReport.RunningTask> rows = new ArrayList<>();
     running.forEach(
         (task, run) ->
