Store removals before what was added since

A worker that was forgotten and listed again while an append was under way was put and then dropped by the next append, in this order. Removals now come first in a batch, for workers and for jobs, and a job that is dropped has no progress left to store.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
@@ -88,6 +88,7 @@
               boolean old =
                   job.storedPhase() != JobPhase.ACTIVE && job.endedAtMillis() < wallMillis;
               if (old) {
+                unstoredProgress.remove(job);
                 removals.add(StoredChange.dropJob(job.id()));
                 removals.add(StoredChange.dropProgress(job.id()));
               }
@@ -111,6 +112,7 @@
 
   /** Takes the changes that wait; the phases say what each job's store then holds. */
   Map<Job, JobPhase> drain(List<StoredChange> changes) {
+    changes.addAll(removals);
     Map<Job, JobPhase> phases = new HashMap<>();
     for (Job job : unstoredJobs) {
       changes.add(StoredChange.put(job.record()));
@@ -120,7 +122,6 @@
       changes.add(StoredChange.put(job.progress()));
       phases.put(job, job.phase());
     }
-    changes.addAll(removals);
     unstoredJobs.clear();
     unstoredProgress.clear();
     removals.clear();
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -251,8 +251,9 @@
     return !unstored.isEmpty() || !removals.isEmpty();
   }
 
-  /** Takes the changes that wait to be stored. */
+  /** Takes the changes that wait to be stored; a worker that came back was removed before that. */
   List<JournalBatch.NotedEnds> drain(List<StoredChange> changes) {
+    changes.addAll(removals);
     List<JournalBatch.NotedEnds> noted = new ArrayList<>(unstored.size());
     for (Worker worker : unstored) {
       changes.add(
@@ -264,7 +265,6 @@
                   worker.seenUpTo())));
       noted.add(new JournalBatch.NotedEnds(worker, worker.bornMillis(), worker.seenUpTo()));
     }
-    changes.addAll(removals);
     unstored.clear();
     removals.clear();
     return noted;
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
@@ -172,7 +172,6 @@
 
   /** One append must not drop the record of a worker that it also holds. */
   @Test
-  @Tag("known-red")
   void aWorkerThatIsListedAgainBeforeItsRemovalIsStoredIsKnownToTheNextOwner() {
     ownTwoWorkers();
     scheduler.unlisted("w1");
