End the term of an owner whose order met a higher one

A worker that rejects an order as fenced has seen a later owner, which has claimed the jobs in the log before it gave any order. Workers that had forgotten the newer term in a restart, or that the later owner had not asked yet, took its orders: two runs of one task, or leases renewed for longer than the later owner allows for. Such an owner now gives no order any more and ends its term. The line of its end says whether it was fenced.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -232,9 +232,13 @@
    *
    * @param steady steady time in milliseconds
    * @param wall wall time in milliseconds since 1970
-   * @return orders to send now
+   * @return orders to send now; none once a worker has seen a higher term
    */
   public List<Order> step(long steady, long wall) {
+    if (isFenced()) {
+      // Only a worker that forgot the newer term in a restart would carry these out.
+      return List.of();
+    }
     List<Order> orders = new ArrayList<>(ready);
     ready.clear();
     jobs.active().forEach(job -> job.openDue(wall));
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -157,13 +157,11 @@
     int taken = ring.drain(EVENTS_PER_STEP, this::take);
     long steady = Time.steadyMillis();
     watchClocks(steady);
-    if (journal.isDeposed() || closed) {
+    if (journal.isDeposed() || scheduler.isFenced() || closed) {
       endTerm();
       return;
     }
-    boolean fenced = scheduler.isFenced();
-    if (steady - lastCheckMillis >= (fenced ? STEP_MILLIS : CHECK_MILLIS)
-        && (fenced || !journal.isBusy())) {
+    if (steady - lastCheckMillis >= CHECK_MILLIS && !journal.isBusy()) {
       lastCheckMillis = steady;
       journal.check(steady);
     }
@@ -398,7 +396,12 @@
   private void endTerm() {
     if (!deposed) {
       deposed = true;
-      EventLog.warn(closed ? LogEvent.OWNER_RELEASED : LogEvent.OWNER_DEPOSED, "term", term);
+      EventLog.warn(
+          closed ? LogEvent.OWNER_RELEASED : LogEvent.OWNER_DEPOSED,
+          "term",
+          term,
+          "fenced",
+          scheduler.isFenced());
     }
     waiting.values().forEach(callers -> callers.forEach(w -> w.answer().complete(OWNER_CHANGES)));
     waiting.clear();
