Start nothing inherited before all ends of a worker are known

A report names at most 500 ends. A new owner took the first report of a worker for all of it: the inheritance was settled, and tasks that had ended behind the first 500 started again. It now waits until a report was not full; ends are stored and forgotten meanwhile as before.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -153,7 +153,7 @@
     if (!adopted.isEmpty()) {
       log.record(Decision.RUN_ADOPTED, "worker", worker.id(), "runs", String.join(" ", adopted));
     }
-    if (report.ended().size() < WorkerReport.MAX_ENDED) {
+    if (report.isWhole()) {
       dropMissing(worker, seen, sentAt);
     }
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -34,6 +34,7 @@
   private long bornMillis;
   private boolean registered;
   private boolean greeted;
+  private boolean reportedAllEnds;
   private long clockOffsetMillis;
   private boolean clockKnown;
   private long leaseOverMillis;
@@ -128,6 +129,15 @@
     greeted = known;
   }
 
+  /** Tells whether this owner knows all that ran here before it; one report may be too small. */
+  boolean hasReportedAllEnds() {
+    return reportedAllEnds;
+  }
+
+  void reportedAllEnds() {
+    reportedAllEnds = true;
+  }
+
   boolean isClockKnown() {
     return clockKnown;
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerReport.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerReport.java
@@ -22,6 +22,15 @@
     ended = List.copyOf(ended);
   }
 
+  /**
+   * Tells whether the report holds all ends; more wait behind as many as one report can name.
+   *
+   * @return whether it does
+   */
+  public boolean isWhole() {
+    return ended.size() < MAX_ENDED;
+  }
+
   /**
    * Tells whether the report names a run.
    *
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -202,6 +202,9 @@
       worker.forgot(order.notedUpTo());
     }
     worker.sampleClock(report.clockMillis(), steady);
+    if (report.isWhole()) {
+      worker.reportedAllEnds();
+    }
     if (!worker.isGreeted()) {
       worker.greet(true);
       log.record(
@@ -244,7 +247,8 @@
   /** Tells whether a worker of a former owner may still run something that is not known. */
   boolean hasUnseenRuns(long steady) {
     return workers.values().stream()
-        .anyMatch(w -> w.isRegistered() && !w.isGreeted() && steady <= w.leaseOverMillis());
+        .anyMatch(
+            w -> w.isRegistered() && !w.hasReportedAllEnds() && steady <= w.leaseOverMillis());
   }
 
   boolean hasChanges() {
--- a/core/src/test/java/org/lavenderstage/core/pool/TaskOracle.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/TaskOracle.java
@@ -81,6 +81,11 @@
     cancelledAt.putIfAbsent(job, now);
   }
 
+  /** Counts the tasks of which a run is done. */
+  int endCount() {
+    return done.size();
+  }
+
   boolean isDone(TaskId task) {
     return done.contains(task);
   }
