--- a/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
@@ -15,6 +15,9 @@
 class FormerOwnerTest {
   private static final long SEED = 1;
 
+  /** Longest wait for the answer to a start, in milliseconds; as the platform's client waits. */
+  private static final long TIMEOUT_MILLIS = 500;
+
   /** Longest time that an owner orders after its claim was proved last, in milliseconds. */
   private static final long PROOF_MILLIS = 2_000;
 
@@ -34,11 +37,14 @@
   @Test
   void anOwnerThatIsFencedStartsItsTasksNowhereElse() {
     PoolWorld world = new PoolWorld(SEED, 2);
-    world.run(200);
+    world.reportsWaitForEnds = true;
+    world.timeoutMillis = TIMEOUT_MILLIS;
+    world.run(50);
     world.fates =
         order -> order instanceof Order.Start ? PoolWorld.Fate.unanswered() : Optional.empty();
     Job job = world.submit(List.of(PoolWorld.step(1, 2_000, 4_000)), 0);
-    world.run(20);
+    world.run(60);
+    world.fates = order -> Optional.empty();
     SimulatedWorker first = workerOf(world, job);
     world.workers.stream().filter(worker -> worker != first).forEach(world.beyondOwner::add);
     world.replaceOwnerBesideFormer(PROOF_MILLIS);
