Start nothing in a worker's new life before the claim was proved since

A worker that restarts in place forgets the terms that it has seen, so that no token keeps a former owner's orders from it. A former owner that had not been told yet, and that no other worker fenced, started tasks there that the later owner had started elsewhere. A worker's new life now takes no run before its record is stored: that append proves the claim after the life began, and a former owner's append fails. A worker that is new to the list was stored before its first run already.

While the store is away, workers that restart in place stay empty until it is back.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -264,7 +264,7 @@
       if (!run.isOrderDue(steady)) {
         continue;
       }
-      boolean mayStart = worker.isClockKnown() && !worker.isSilent();
+      boolean mayStart = worker.isLifeStored() && worker.isClockKnown() && !worker.isSilent();
       if (run.state() == Run.State.STARTING && mayStart) {
         run.orderSent();
         orders.add(new Order.Start(worker, run, workers.leaseOn(worker, steady)));
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -33,6 +33,7 @@
   private int servingCount;
   private long bornMillis;
   private boolean registered;
+  private long storedBornMillis;
   private boolean greeted;
   private boolean reportedAllEnds;
   private long clockOffsetMillis;
@@ -113,8 +114,18 @@
     return registered;
   }
 
-  void register() {
+  /** Notes that a record of the worker is stored, with the beginning of the life it names. */
+  void register(long born) {
     registered = true;
+    storedBornMillis = born;
+  }
+
+  /**
+   * Tells whether this life of the worker is stored, so that the claim was proved since it began. A
+   * new life has seen no term, and would take orders of a former owner too.
+   */
+  boolean isLifeStored() {
+    return registered && storedBornMillis == bornMillis;
   }
 
   /**
@@ -243,7 +254,7 @@
 
   /** Tells whether new runs may be sent to the worker at all. */
   boolean takesRuns(long steadyMillis) {
-    return registered
+    return isLifeStored()
         && greeted
         && clockKnown
         && !isSilent()
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -51,8 +51,8 @@
   /** Takes a worker that a former owner used; its runs may go on until their lease is over. */
   void load(WorkerRecord record, long steady) {
     Worker worker = new Worker(record.worker(), record.address());
-    worker.register();
     worker.bornAt(Long.parseLong(record.incarnation()));
+    worker.register(worker.bornMillis());
     worker.noted(record.notedUpTo());
     worker.leaseMayLastUntil(steady + timing.formerOwnerMillis() + timing.longestLeaseMillis());
     workers.put(worker.id(), worker);
@@ -276,7 +276,7 @@
 
   void stored(JournalBatch.NotedEnds noted, long steady) {
     Worker worker = noted.worker();
-    worker.register();
+    worker.register(noted.bornMillis());
     if (worker.bornMillis() == noted.bornMillis() && noted.upTo() > worker.notedUpTo()) {
       worker.noted(noted.upTo());
       worker.holdSoon(steady);
