--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
@@ -0,0 +1,49 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lavenderstage.core.pool.PoolFaults.Fault;
+
+/** Random jobs of all kinds under random faults that the scheduler bears: no task runs twice. */
+class PoolFaultsFuzzTest {
+  private static final int FIXED_SEEDS = 40;
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(1, FIXED_SEEDS);
+  }
+
+  private static void play(long seed, Set<Fault> faults) {
+    PoolWorld world = PoolFaults.play(seed, faults);
+    assertEquals(List.of(), world.oracle.broken, () -> "seed " + seed + "\n" + world.explanation());
+  }
+
+  /** Guards cancels, preemption and slow stops while workers and owners go and the store stalls. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereRunsAreStoppedAndWorkersAndOwnersGo(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.CRASH,
+            Fault.CUT,
+            Fault.NEW_OWNER,
+            Fault.STORE_SLOW,
+            Fault.STORE_DOWN,
+            Fault.CHECKPOINTS,
+            Fault.LASTING,
+            Fault.CANCEL,
+            Fault.SLOW_STOPS));
+  }
+
+  /** Guards against a worker's address that belongs to another worker's next life. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereWorkersRestartAtOtherAddresses(long seed) {
+    play(seed, PoolFaults.of(Fault.MOVE, Fault.NEW_OWNER));
+  }
+}
