--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -97,8 +97,7 @@
       worker.cut = false;
       worker.takenCpuMillis = 0;
       if (!worker.up) {
-        List<String> free = freeAddresses(world);
-        worker.restart(world.now, free.contains(worker.address) ? worker.address : free.get(0));
+        restart(world, worker);
       }
     }
     if (world.oracle.broken.isEmpty()) {
@@ -160,10 +159,16 @@
     if (worker.up) {
       worker.crash(world.now);
     } else {
-      worker.restart(world.now);
+      restart(world, worker);
     }
   }
 
+  /** Begins a worker's next life in place, or elsewhere where its address is taken. */
+  private static void restart(PoolWorld world, SimulatedWorker worker) {
+    List<String> free = freeAddresses(world);
+    worker.restart(world.now, free.contains(worker.address) ? worker.address : free.get(0));
+  }
+
   /** Ends a worker's life, or begins the next one at a free address that may be another's. */
   private static void move(PoolWorld world, SimulatedWorker worker, Random random) {
     if (worker.up) {
