Slow equal fillers in the order of their runs, not by identity hash

FillingLoadTest.imagesThatRuin... gave different verdicts on the same code. FillGuard kept the fillers of a worker in a HashMap keyed by Run, which has no hashCode of its own. The fillers of one image add the same to a serving task, the sort by what they add is stable, and so the identity hashes said which of them was slowed, and in which order paces were sent. The hashes depend on what the threads of the JVM did before, so that the verdict changed from run to run. Both maps now keep the order of the worker's runs, whose map is keyed by TaskId, a record of a string and numbers.

The first difference is which of two tasks of a worker is paced.

--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.lavenderstage.core.job.Run;
@@ -59,10 +59,14 @@
     return orders;
   }
 
-  /** Returns the part of its full speed that each running filler of a worker may work at. */
+  /**
+   * Returns the part of its full speed that each running filler of a worker may work at, in the
+   * order of the worker's runs: a run has an identity hash, and an order by that would let chance
+   * say which of several equal fillers is slowed.
+   */
   private Map<Run, Double> shares(Worker worker, long steady) {
     List<Run> all = worker.runs();
-    Map<Run, Double> shares = new HashMap<>();
+    Map<Run, Double> shares = new LinkedHashMap<>();
     for (Run run : all) {
       if (run.task().step().spec().filling() && run.state() == Run.State.RUNNING) {
         shares.put(run, 1.0);
@@ -83,7 +87,7 @@
     double limit = pressure.limit(spec) * (1 - HEADROOM);
     double expected = pressure.ownUtilization(serving.task().step()) - limit;
     double measured = pressure.shownUtilization(serving) - limit;
-    Map<Run, Double> added = new HashMap<>();
+    Map<Run, Double> added = new LinkedHashMap<>();
     for (Map.Entry<Run, Double> filler : shares.entrySet()) {
       Run run = filler.getKey();
       double full = pressure.added(spec, run.task().step().spec(), worker, steady);
--- a/core/src/test/java/org/lavenderstage/core/pool/FillingLoadTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillingLoadTest.java
@@ -107,8 +107,10 @@
     assertEquals(List.of(), world.oracle.broken);
   }
 
-  @Test
-  void imagesThatRuinSomeServingTasksHarmNoneForLongAndStillRunBesideOthers() {
+  /** What a world and its model hold once a load was played. */
+  private record Played(PoolWorld world, SimulatedInterference model, double part) {}
+
+  private static Played playWithHeavyImages() {
     SimulatedInterference model = swingingLoad();
     List<String> harmless = List.of("f0", "f1", "f2", "f3", "f4");
     List<String> heavy = List.of("h0", "h1", "h2", "h3");
@@ -121,11 +123,31 @@
     PoolWorld world = world(model);
     List<String> images = new ArrayList<>(harmless);
     images.addAll(heavy);
-    double part = fill(world, model, images);
-    assertTrue(part > 0.6, "part of the unused cores: " + part);
+    return new Played(world, model, fill(world, model, images));
+  }
+
+  @Test
+  void imagesThatRuinSomeServingTasksHarmNoneForLongAndStillRunBesideOthers() {
+    Played played = playWithHeavyImages();
+    SimulatedInterference model = played.model;
+    assertTrue(played.part > 0.6, "part of the unused cores: " + played.part);
     assertTrue(model.longestOverMillis < HARM_MILLIS, "longest: " + model.longestOverMillis);
     double over = (double) model.overMillis / model.servingMillis;
     assertTrue(over < 0.03, "part of the serving time over target: " + over);
-    assertEquals(List.of(), world.oracle.broken);
+    assertEquals(List.of(), played.world.oracle.broken);
+  }
+
+  /** The second play's objects have other identity hashes, as they would in another JVM. */
+  @Test
+  void oneSeedGivesOneHistoryWhateverTheIdentityHashes() {
+    Played first = playWithHeavyImages();
+    Played again = playWithHeavyImages();
+    List<String> history = first.world.history;
+    for (int i = 0; i < Math.min(history.size(), again.world.history.size()); i++) {
+      assertEquals(history.get(i), again.world.history.get(i), "line " + i);
+    }
+    assertEquals(history.size(), again.world.history.size());
+    assertEquals(first.model.overMillis, again.model.overMillis);
+    assertEquals(first.part, again.part);
   }
 }
