Keep the owner going after an event that it cannot take

An exception in JobOwner.take stopped the owner for good: it left EventPoller.poll before the sequence moved, so the ring offered the same slot again, by then null, at each step, while peers still saw the entry as owning. BoundedRing.drain now moves an item out of the ring before its consumer sees it; the failure comes out of drain and the duty logs it as before, now by its own name instead of "the consumer failed". What waits behind it is taken in the next step.

--- a/entry/src/main/java/org/lavenderstage/entry/duty/BoundedRing.java
+++ b/entry/src/main/java/org/lavenderstage/entry/duty/BoundedRing.java
@@ -36,27 +36,36 @@
   }
 
   /**
-   * Takes what is there; only the one duty may call this.
+   * Takes what is there; only the one duty may call this. An item whose consumer fails is taken all
+   * the same, and the failure comes out of this method; what waits behind it stays in the ring.
    *
    * @param max most items to take
    * @param consumer takes each item
    * @return count of the items taken
    */
   public int drain(int max, Consumer<T> consumer) {
-    Counter counter = new Counter();
+    Slot<T> taken = new Slot<>();
+    EventPoller.Handler<Slot<T>> mover =
+        (slot, sequence, endOfBatch) -> {
+          taken.item = slot.item;
+          slot.item = null;
+          return false;
+        };
+    int count = 0;
+    while (count < max && moveOne(mover)) {
+      count++;
+      consumer.accept(taken.item);
+    }
+    return count;
+  }
+
+  /** Moves an item out, if there is one; a consumer that failed in a poll would get it again. */
+  private boolean moveOne(EventPoller.Handler<Slot<T>> mover) {
     try {
-      poller.poll(
-          (slot, sequence, endOfBatch) -> {
-            T item = slot.item;
-            slot.item = null;
-            counter.count++;
-            consumer.accept(item);
-            return counter.count < max;
-          });
+      return poller.poll(mover) == EventPoller.PollState.PROCESSING;
     } catch (Exception e) {
-      throw new IllegalStateException("the consumer failed", e);
+      throw new IllegalStateException("the ring failed", e);
     }
-    return counter.count;
   }
 
   /**
@@ -68,13 +77,8 @@
     return ring.getBufferSize() - ring.remainingCapacity();
   }
 
-  /** One place of the ring. */
+  /** One place of the ring, or the place of an item that has left it. */
   private static final class Slot<T> {
     private T item;
   }
-
-  /** Counts within a poll. */
-  private static final class Counter {
-    private int count;
-  }
 }
