Tell the owner what became of every order

Where WorkerOrders.send threw, or its future failed against its contract (a decoder that throws, a worker's id that no header may hold), no OrderEnded event came: the worker kept its hold in flight and was never asked again, and an exception out of send also lost the later orders of the step.

Not covered: an answer that core itself rejects with an exception.

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -22,6 +22,7 @@
 import org.lavenderstage.core.pool.JobScheduler;
 import org.lavenderstage.core.pool.JournalBatch;
 import org.lavenderstage.core.pool.Order;
+import org.lavenderstage.core.pool.OrderResult;
 import org.lavenderstage.core.pool.WorkerListing;
 import org.lavenderstage.entry.duty.BoundedRing;
 import org.lavenderstage.entry.duty.Duty;
@@ -168,10 +169,7 @@
     storeSilentMillis = Math.max(0, steady - journal.confirmedMillis());
     if (mayOrder(steady)) {
       for (Order order : scheduler.step(steady, Time.wallMillis())) {
-        CompletableFuture<Void> unused =
-            orders
-                .send(order, term)
-                .thenAccept(result -> tell(new OwnerEvent.OrderEnded(order, result)));
+        send(order);
       }
     }
     store(steady);
@@ -182,6 +180,23 @@
     }
   }
 
+  /**
+   * Sends an order. What became of it always comes as an event, as long as the owner takes events;
+   * without one its worker would never be asked again.
+   */
+  private void send(Order order) {
+    CompletableFuture<OrderResult> result;
+    try {
+      result = orders.send(order, term);
+    } catch (RuntimeException e) {
+      result = CompletableFuture.failedFuture(e);
+    }
+    CompletableFuture<Void> unused =
+        result
+            .exceptionally(failure -> new OrderResult.Unanswered(failure.toString()))
+            .thenAccept(answer -> tell(new OwnerEvent.OrderEnded(order, answer)));
+  }
+
   private void park() {
     parked = true;
     if (ring.size() == 0) {
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -92,4 +92,27 @@
     CompletableFuture<JobAnswer> answer = owner.call(submission());
     assertEquals(new JobAnswer.Accepted(), answer.get(LONGEST_MILLIS, TimeUnit.MILLISECONDS));
   }
+
+  /** Guards against a worker that is never asked again since its order's future failed. */
+  @Test
+  void aWorkerIsAskedAgainAfterAnOrderWhoseFutureFailed() throws Exception {
+    own((order, term) -> keep(order), "w1");
+    nextSent().answer().completeExceptionally(new IllegalStateException("undecodable"));
+    assertEquals("w1", nextSent().order().worker().id());
+  }
+
+  /** Guards against the loss of a step's later orders where sending one of them fails at once. */
+  @Test
+  void theOtherWorkersAreAskedWhereAnOrderCannotBeSent() throws Exception {
+    own(
+        (order, term) -> {
+          if (order.worker().id().equals("w1")) {
+            throw new IllegalStateException("unsendable");
+          }
+          return keep(order);
+        },
+        "w1",
+        "w2");
+    assertEquals("w2", nextSent().order().worker().id());
+  }
 }
