--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/UnansweredStartTest.java
@@ -0,0 +1,278 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.JobRecord;
+import org.lavenderstage.core.job.QueueRules;
+import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.placement.Resources;
+
+/** What becomes of a run after a copy of its start got no answer, order by order. */
+class UnansweredStartTest {
+  private static final long BORN = 900_000;
+  private static final long SEED = 1;
+
+  private final JobScheduler scheduler =
+      new JobScheduler(1, new PoolTiming(6_000, 300, 2_500), 120_000, (decision, values) -> {});
+  private final List<Order> sent = new ArrayList<>();
+  private long now = 1_000_000;
+
+  private static WorkerListing listing(boolean draining) {
+    return new WorkerListing(
+        "w0",
+        "service",
+        "10.0.0.0:80",
+        "domain",
+        "rack",
+        Set.of("rack"),
+        new Resources(8_000, 256_000, 0),
+        draining,
+        BORN);
+  }
+
+  private void run(long millis) {
+    for (long until = now + millis; now < until; now += 10) {
+      sent.addAll(scheduler.step(now, now));
+      scheduler.drainJournal().ifPresent(batch -> scheduler.stored(batch, now));
+    }
+  }
+
+  private <T extends Order> T next(Class<T> kind) {
+    for (int i = 0; i < sent.size(); i++) {
+      if (kind.isInstance(sent.get(i))) {
+        return kind.cast(sent.remove(i));
+      }
+    }
+    throw new AssertionError("no " + kind.getSimpleName() + " among " + sent);
+  }
+
+  private boolean hasSent(Class<? extends Order> kind) {
+    return sent.stream().anyMatch(kind::isInstance);
+  }
+
+  private void report(List<WorkerReport.RunningTask> running) {
+    Order.Hold hold = next(Order.Hold.class);
+    WorkerReport report = new WorkerReport(now - BORN, BORN, running, List.of());
+    scheduler.ended(hold, new OrderResult.Reported(report), now, now);
+  }
+
+  private Order.Start startWithoutAnswer() {
+    scheduler.listed(listing(false));
+    run(50);
+    report(List.of());
+    QueueRules rules = new QueueRules("queue0", "service", 0, 3, 2.0, 1_000);
+    StepSpec step = PoolWorld.step(1, 2_000, 4_000);
+    scheduler.submit(
+        new JobRecord("0000000000000001", rules, now, "payload", List.of(step), 0, 0, 0), now);
+    run(100);
+    Order.Start first = next(Order.Start.class);
+    run(500);
+    scheduler.ended(first, new OrderResult.Unanswered("late"), now, now);
+    return first;
+  }
+
+  /** The report says that the run is there, so that no copy can start it again. */
+  @Test
+  @Tag("known-red")
+  void aRunThatTheWorkerHasReportedIsNotStoppedSinceARepeatWasRefused() {
+    Order.Start first = startWithoutAnswer();
+    run(300);
+    final Order.Start second = next(Order.Start.class);
+    report(
+        List.of(
+            new WorkerReport.RunningTask(
+                first.run().task().id(), first.run().attempt(), "", 10, 0)));
+    scheduler.ended(second, new OrderResult.Rejected(Rejection.UNHEALTHY), now, now);
+    run(300);
+    assertFalse(hasSent(Order.Stop.class), () -> "stopped: " + sent);
+  }
+
+  /** A worker that drains must not be given work later than a while after it said so. */
+  @Test
+  @Tag("known-red")
+  void anUnansweredStartIsNotRepeatedForeverOnAWorkerThatDrains() {
+    startWithoutAnswer();
+    run(300);
+    scheduler.ended(next(Order.Start.class), new OrderResult.Unanswered("late"), now, now);
+    report(List.of());
+    scheduler.listed(listing(true));
+    run(300);
+    // The call that may have been under way at the news ends; 5 s later nothing is repeated.
+    if (hasSent(Order.Start.class)) {
+      scheduler.ended(next(Order.Start.class), new OrderResult.Unanswered("late"), now, now);
+    }
+    now += 5_000;
+    run(500);
+    assertFalse(hasSent(Order.Start.class), () -> "started: " + sent);
+  }
+
+  /** Each copy of a start names the end of its lease, and is turned away as late after it. */
+  @Test
+  @Tag("known-red")
+  void aTaskGoesOnElsewhereWhereStopsAreRefusedUntilEveryCopyOfItsStartIsTooLate() {
+    Order.Start first = startWithoutAnswer();
+    run(300);
+    Order.Start second = next(Order.Start.class);
+    scheduler.ended(second, new OrderResult.Rejected(Rejection.UNHEALTHY), now, now);
+    for (int i = 0; i < 100; i++) {
+      run(300);
+      while (hasSent(Order.Stop.class)) {
+        scheduler.ended(
+            next(Order.Stop.class), new OrderResult.Rejected(Rejection.UNHEALTHY), now, now);
+      }
+      if (hasSent(Order.Hold.class)) {
+        report(List.of());
+      }
+    }
+    assertTrue(now - BORN > second.leaseUntilMillis() + 20_000);
+    assertFalse(
+        first.run().task().runs().contains(first.run()),
+        "30 s of reports without the run, and its task still waits for it");
+  }
+
+  private static long timeOf(PoolWorld world, String decision, String values) {
+    return world.history.stream()
+        .filter(line -> line.contains(decision) && line.contains(values))
+        .mapToLong(line -> Long.parseLong(line.split(" ", 2)[0]))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** The report that tells whether a stopped run was there need not wait for an end. */
+  @Test
+  @Tag("known-red")
+  void aTaskStartsElsewhereWithinASecondOfTheRefusalOfALaterCopy() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.reportsWaitForEnds = true;
+    world.timeoutMillis = 500;
+    world.run(50);
+    List<Order> starts = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start) {
+            starts.add(order);
+            if (starts.size() == 2) {
+              world.workers.stream()
+                  .filter(worker -> worker.id.equals(order.worker().id()))
+                  .forEach(worker -> worker.unhealthyUntil = world.now + 500);
+            }
+          }
+          return starts.size() == 1 && order instanceof Order.Start
+              ? PoolWorld.Fate.late(5_000)
+              : PoolWorld.Fate.prompt();
+        };
+    world.submit(List.of(PoolWorld.step(1, 2_000, 500)), 0);
+    world.run(8_000);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    long refused = timeOf(world, "ORDER_REJECTED", "unanswered-copies, 1");
+    long elsewhere = timeOf(world, "RUN_ORDERED", "attempt, 2,");
+    assertTrue(elsewhere - refused < 1_000, "after " + (elsewhere - refused) + " ms");
+  }
+
+  /** Attempts of a later term have to be higher than those that a gang used up while it waited. */
+  @Test
+  @Tag("known-red")
+  void aGangThatWaitsForRoomDoesNotUseUpTheAttemptsOfItsTerm() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.run(200);
+    world.submit(List.of(PoolWorld.step(1, 8_000, 65_000)), 0);
+    world.run(200);
+    StepSpec gang =
+        new StepSpec(
+            2, 8_000, 1_000, 0, 500, List.of(), false, true, false, "", "", 0, false, false, "", 0,
+            false, 0);
+    world.submit(List.of(gang), 0);
+    world.run(60_000);
+    assertFalse(
+        world.history.stream()
+            .anyMatch(line -> line.contains("RUN_ORDERED") && line.contains("attempt, 1001,")));
+  }
+
+  /** A start that meets a restarted worker waits there for the store, though others have room. */
+  @Test
+  @Tag("known-red")
+  void aTaskWhoseWorkerRestartsInPlaceStartsElsewhereWhileTheStoreIsAway() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.run(200);
+    Set<String> ordered = new HashSet<>();
+    world.fates =
+        order ->
+            order instanceof Order.Start && ordered.isEmpty()
+                ? PoolWorld.Fate.late(100_000)
+                : PoolWorld.Fate.prompt();
+    Job job = world.submit(List.of(PoolWorld.step(1, 2_000, 500)), 0);
+    world.run(100);
+    world.storeDown = true;
+    SimulatedWorker chosen = chosenWorker(world);
+    chosen.crash(world.now);
+    chosen.restart(world.now);
+    world.run(1_000);
+    ordered.add("first");
+    world.run(8_000);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    assertTrue(job.phase() == JobPhase.COMPLETED, () -> String.join("\n", world.history));
+  }
+
+  private static SimulatedWorker chosenWorker(PoolWorld world) {
+    String line =
+        world.history.stream().filter(l -> l.contains("RUN_ORDERED")).findFirst().orElseThrow();
+    return world.workers.stream()
+        .filter(w -> line.contains("worker, " + w.id + ","))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Plays a done task whose worker restarts before a held-back copy of the start arrives. */
+  private static PoolWorld playStray(Optional<PoolWorld.Fate> stopFate) {
+    PoolWorld world = new PoolWorld(SEED, 1);
+    world.lateOrdersReachOtherLives = true;
+    world.run(200);
+    List<Order> starts = new ArrayList<>();
+    List<Order> stops = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start) {
+            starts.add(order);
+            return starts.size() == 1 ? PoolWorld.Fate.late(6_000) : PoolWorld.Fate.prompt();
+          }
+          if (order instanceof Order.StopStray) {
+            stops.add(order);
+            return stops.size() == 1 ? stopFate : PoolWorld.Fate.prompt();
+          }
+          return PoolWorld.Fate.prompt();
+        };
+    world.submit(List.of(PoolWorld.step(1, 2_000, 500)), 0);
+    world.run(2_500);
+    SimulatedWorker worker = world.workers.get(0);
+    worker.crash(world.now);
+    worker.restart(world.now);
+    world.run(8_000);
+    assertFalse(stops.isEmpty(), "no stop of the open start");
+    return world;
+  }
+
+  @Test
+  void aStopOfAnOpenStartKeepsARestartedWorkerFromIt() {
+    PoolWorld world = playStray(PoolWorld.Fate.prompt());
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
+  /** An unanswered stop of a run without an account is not repeated. */
+  @Test
+  @Tag("known-red")
+  void aStopOfAnOpenStartThatGetsNoAnswerIsRepeated() {
+    PoolWorld world = playStray(PoolWorld.Fate.late(100_000));
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+}
