Give a stopped start up once its lease is over, and ask for shorter reports until then

Every copy of a start names a lease on the worker's clock and is rejected after it, so a report from behind that time that lacks the run settles it. And a report may wait a second for an end; while it decides about a run that was to start or to stop it waits 200 ms.

--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -30,6 +30,8 @@
   private int pacePercent = 100;
   private long paceSinceMillis;
   private int unansweredStarts;
+  private long startLeaseMillis;
+  private long startLife;
 
   /**
    * Makes a run that is about to be ordered.
@@ -125,6 +127,30 @@
     return !callInFlight && steadyMillis >= retryAtMillis;
   }
 
+  /**
+   * Notes that a copy of the order to start the run was sent.
+   *
+   * @param leaseUntilMillis end of the lease that it names, on the worker's clock
+   * @param bornMillis the life of the worker that this clock belongs to
+   */
+  public void startSent(long leaseUntilMillis, long bornMillis) {
+    orderSent();
+    startLeaseMillis = leaseUntilMillis;
+    startLife = bornMillis;
+  }
+
+  /**
+   * Tells whether the worker would reject every copy of the order to start the run, since the lease
+   * that it names is over.
+   *
+   * @param bornMillis the worker's life
+   * @param clockMillis time on the worker's clock
+   * @return whether it would; false where this process sent no copy to this life
+   */
+  public boolean isTooLateToStart(long bornMillis, long clockMillis) {
+    return startLeaseMillis > 0 && startLife == bornMillis && clockMillis > startLeaseMillis;
+  }
+
   /** Notes that a copy of the order to start the run got no answer. */
   public void startUnanswered() {
     unansweredStarts++;
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -266,8 +266,9 @@
       }
       boolean mayStart = worker.isLifeStored() && worker.isClockKnown() && !worker.isSilent();
       if (run.state() == Run.State.STARTING && mayStart) {
-        run.orderSent();
-        orders.add(new Order.Start(worker, run, workers.leaseOn(worker, steady)));
+        long lease = workers.leaseOn(worker, steady);
+        run.startSent(lease, worker.bornMillis());
+        orders.add(new Order.Start(worker, run, lease));
       } else if (run.state() == Run.State.STOPPING) {
         run.orderSent();
         orders.add(new Order.Stop(worker, run));
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -157,7 +157,7 @@
       log.record(Decision.RUN_ADOPTED, "worker", worker.id(), "runs", String.join(" ", adopted));
     }
     if (report.isWhole()) {
-      dropMissing(worker, seen, sentAt);
+      dropMissing(worker, report, seen, sentAt);
     }
   }
 
@@ -200,9 +200,15 @@
   }
 
   /** Drops the runs that a report, asked for after they were certain, does not name any more. */
-  private void dropMissing(Worker worker, Set<Run> seen, long sentAt) {
+  private void dropMissing(Worker worker, WorkerReport report, Set<Run> seen, long sentAt) {
     for (Run run : worker.runs()) {
-      boolean certain = run.state() == Run.State.RUNNING || run.state() == Run.State.DOUBTFUL;
+      boolean certain =
+          switch (run.state()) {
+            case RUNNING, DOUBTFUL -> true;
+            // A worker may reject stops; the lease that every copy of the start names still ends.
+            case STOPPING -> run.isTooLateToStart(worker.bornMillis(), report.clockMillis());
+            case STARTING -> false;
+          };
       if (certain && run.stateSinceMillis() < sentAt && !seen.contains(run)) {
         lost(worker, run, "not reported");
       }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -274,6 +274,19 @@
     return all;
   }
 
+  /** Tells whether the next report decides about a run that was to start or to stop. */
+  boolean hasUnsettledRuns() {
+    return runs.values().stream().flatMap(List::stream).anyMatch(Worker::isUnsettled);
+  }
+
+  private static boolean isUnsettled(Run run) {
+    return switch (run.state()) {
+      case RUNNING -> false;
+      case STARTING -> run.unansweredStarts() > 0;
+      case STOPPING, DOUBTFUL -> true;
+    };
+  }
+
   /**
    * Tells whether nothing can be running on the worker.
    *
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -21,6 +21,9 @@
   /** How long a worker may hold back its report while nothing ends, in milliseconds. */
   private static final int REPORT_WAIT_MILLIS = 1_000;
 
+  /** The same while it is not known whether a run is there; the longest time of a stop. */
+  private static final int UNSETTLED_WAIT_MILLIS = 200;
+
   /** Pause before a worker that gave no report is asked again, in milliseconds. */
   private static final long RETRY_MILLIS = 250;
 
@@ -133,8 +136,8 @@
       lease = leaseOn(worker, steady);
     }
     boolean wait = worker.isGreeted() && worker.seenUpTo() == worker.notedUpTo();
-    return new Order.Hold(
-        worker, lease, worker.endsToForget(), wait ? REPORT_WAIT_MILLIS : 0, steady);
+    int longestWait = worker.hasUnsettledRuns() ? UNSETTLED_WAIT_MILLIS : REPORT_WAIT_MILLIS;
+    return new Order.Hold(worker, lease, worker.endsToForget(), wait ? longestWait : 0, steady);
   }
 
   /** Returns the end of a new lease on the worker's clock. */
