Move a start on from a worker that restarted in place

A run whose start was under way when its worker restarted stayed with the new life. Since a new life takes runs only once it is stored, the task waited there for the store though other workers had room. Such a run is stopped there and its task goes on elsewhere.

UnansweredStartTest.aTaskWhoseWorkerRestartsInPlaceStartsElsewhereWhileTheStoreIsAway failed before; it passes without the rule for new lives, so that this was a regression of it.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -325,7 +325,7 @@
       boolean mayStart = start != null && start.attempt() == run.attempt();
       boolean startedSince =
           run.stateSinceMillis() >= sentAt || report.names(run.task().id(), run.attempt());
-      if (startedSince || (run.state() == Run.State.STARTING && !forgets)) {
+      if (startedSince) {
         continue;
       }
       if (mayStart || run.state() == Run.State.STARTING) {
