Repeat no start on a worker that drains

A start without an answer was repeated for as long as its worker was there, also seconds after it had announced that it drains. It is stopped like the runs that can go on elsewhere.

UnansweredStartTest.anUnansweredStartIsNotRepeatedForeverOnAWorkerThatDrains failed before.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -302,7 +302,9 @@
   void evacuate(Worker worker, long steady) {
     for (Run run : worker.runs()) {
       StepSpec spec = run.task().step().spec();
-      if (run.state() == Run.State.RUNNING && (spec.lasting() || spec.checkpointing())) {
+      boolean movable = spec.lasting() || spec.checkpointing();
+      boolean repeated = run.state() == Run.State.STARTING && run.isOrderDue(steady);
+      if (repeated || (run.state() == Run.State.RUNNING && movable)) {
         stop(run, "the worker leaves", steady);
       }
     }
