Repeat the stop that keeps a worker's new life from an old start

Where a worker restarts in place while a copy of a start is unanswered, a stop makes the new life reject that attempt. The stop was sent once; without an answer to it the old start could still begin after its task was done. It is repeated for as long as the start may come.

UnansweredStartTest.aStopOfAnOpenStartThatGetsNoAnswerIsRepeated failed before.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -207,7 +207,12 @@
       }
       case Order.Pace pace -> paceEnded(pace, result);
       case Order.StopStray stray -> {
-        // the next report shows whether the stray run is gone
+        // The next report shows whether a run that was there is gone; one that may yet come is not
+        // in it.
+        boolean mayCome = stray.worker().openStarts(steady).containsKey(stray.task());
+        if (result instanceof OrderResult.Unanswered && mayCome) {
+          ready.add(stray);
+        }
       }
     }
   }
