--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -298,7 +298,9 @@
     }
   }
 
-  /** Stops what can go on elsewhere on a worker that is about to leave. */
+  /**
+   * Stops what can go on elsewhere on a worker that is about to leave, and starts nothing there.
+   */
   void evacuate(Worker worker, long steady) {
     for (Run run : worker.runs()) {
       StepSpec spec = run.task().step().spec();
--- a/core/src/test/java/org/lavenderstage/core/pool/UnansweredStartTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/UnansweredStartTest.java
@@ -99,7 +99,6 @@
 
   /** A worker that drains must not be given work later than a while after it said so. */
   @Test
-  @Tag("known-red")
   void anUnansweredStartIsNotRepeatedForeverOnAWorkerThatDrains() {
     startWithoutAnswer();
     run(300);
@@ -118,7 +117,6 @@
 
   /** Each copy of a start names the end of its lease, and is turned away as late after it. */
   @Test
-  @Tag("known-red")
   void aTaskGoesOnElsewhereWhereStopsAreRefusedUntilEveryCopyOfItsStartIsTooLate() {
     Order.Start first = startWithoutAnswer();
     run(300);
@@ -150,7 +148,6 @@
 
   /** The report that tells whether a stopped run was there need not wait for an end. */
   @Test
-  @Tag("known-red")
   void aTaskStartsElsewhereWithinASecondOfTheRefusalOfALaterCopy() {
     PoolWorld world = new PoolWorld(SEED, 2);
     world.reportsWaitForEnds = true;
@@ -200,7 +197,6 @@
 
   /** A start that meets a restarted worker waits there for the store, though others have room. */
   @Test
-  @Tag("known-red")
   void aTaskWhoseWorkerRestartsInPlaceStartsElsewhereWhileTheStoreIsAway() {
     PoolWorld world = new PoolWorld(SEED, 2);
     world.run(200);
@@ -269,7 +265,6 @@
 
   /** An unanswered stop of a run without an account is not repeated. */
   @Test
-  @Tag("known-red")
   void aStopOfAnOpenStartThatGetsNoAnswerIsRepeated() {
     PoolWorld world = playStray(PoolWorld.Fate.late(100_000));
     assertEquals(List.of(), world.oracle.broken, world::explanation);
