--- a/core/src/test/java/org/lavenderstage/core/pool/PoolRefusalTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolRefusalTest.java
@@ -18,7 +18,7 @@
   private static final long TIMEOUT_MILLIS = 500;
 
   private static final long LATE_MILLIS = 2_500;
-  private static final long ILL_MILLIS = 500;
+  private static final long UNHEALTHY_MILLIS = 500;
 
   /** Plays one task of which the first order gets no answer, and the second is refused. */
   private static void play(
@@ -52,20 +52,22 @@
     assertEquals(JobPhase.COMPLETED, job.storedPhase());
   }
 
-  /** A start that ran without an answer was released when a later copy met an ill worker. */
+  /** A start that ran without an answer was released when a later copy met an unhealthy worker. */
   @Test
   void aRunWhoseAnswerWasLostDoesNotStartElsewhereWhileItsWorkerCallsItselfUnhealthy() {
     play(
         PoolWorld.Fate.unanswered(),
-        (world, worker) -> worker.unhealthyUntil = world.now + ILL_MILLIS);
+        (world, worker) -> worker.unhealthyUntil = world.now + UNHEALTHY_MILLIS);
   }
 
-  /** A start that was held back began on the ill worker after its task had begun elsewhere. */
+  /**
+   * A start that was held back began on the unhealthy worker after its task had begun elsewhere.
+   */
   @Test
   void aStartThatIsCarriedOutLateDoesNotRunBesideAnotherAfterItsWorkerWasUnhealthy() {
     play(
         PoolWorld.Fate.late(LATE_MILLIS),
-        (world, worker) -> worker.unhealthyUntil = world.now + ILL_MILLIS);
+        (world, worker) -> worker.unhealthyUntil = world.now + UNHEALTHY_MILLIS);
   }
 
   /** A start that was held back began once there was room, after its task had begun elsewhere. */
