Show a lasting task that waits ten seconds while batch tasks take every place

After an urgent task has lacked room, lasting tasks leave the last place free for ten seconds. Where a busy pool frees places one at a time, each is the last one, and batch tasks take it: a lasting task whose worker drains is not placed until the ten seconds are over.

--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
@@ -0,0 +1,83 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.TaskId;
+
+/**
+ * Lasting tasks lose their worker in a pool that batch work keeps full, where places become free
+ * one at a time.
+ */
+class InterruptedLastingTaskTest {
+  private static final long SEED = 11;
+  private static final int WORKERS = 3;
+  private static final int WORKER_CPU = 32_000;
+  private static final int LASTING_TASKS = 3;
+  private static final int LASTING_CPU = 3_000;
+  private static final int BATCH_CPU = 3_500;
+  private static final int BATCH_MILLIS = 2_400;
+  private static final int FIRST_BATCH_TASKS = 24;
+  private static final int BATCH_GAP_MILLIS = 70;
+  private static final int BATCH_TASKS = 200;
+
+  /** Within which an interrupted task is to run again, by the users' rules. */
+  private static final long BACK_MILLIS = 3_000;
+
+  private final PoolWorld world = new PoolWorld(SEED, WORKERS);
+  private final Job lasting;
+
+  InterruptedLastingTaskTest() {
+    world.reportsWaitForEnds = true;
+    world.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
+    world.run(500);
+    lasting = world.submit(List.of(PoolWorld.lasting(LASTING_TASKS, LASTING_CPU)), 0);
+    world.run(200);
+    for (int i = 0; i < FIRST_BATCH_TASKS; i++) {
+      submitBatchTask(500 + i * BATCH_GAP_MILLIS);
+    }
+    for (int i = 0; i < BATCH_TASKS; i++) {
+      submitBatchTask(BATCH_MILLIS);
+    }
+    world.run(300);
+  }
+
+  private void submitBatchTask(long millis) {
+    world.submit(List.of(PoolWorld.step(1, BATCH_CPU, millis)), 2);
+  }
+
+  private void lackRoomForUrgentTask() {
+    world.submit(List.of(PoolWorld.step(1, BATCH_CPU, 500)), 0);
+    world.run(100);
+  }
+
+  private List<TaskId> notRunning() {
+    return IntStream.range(0, LASTING_TASKS)
+        .mapToObj(i -> new TaskId(lasting.id(), 0, 0, i))
+        .filter(task -> !world.oracle.isRunning(task))
+        .toList();
+  }
+
+  private String ordersSinceDraining() {
+    return world.history.stream()
+        .dropWhile(line -> !line.contains("draining, true"))
+        .filter(line -> line.contains("RUN_ORDERED") || line.contains(lasting.id()))
+        .collect(Collectors.joining("\n"));
+  }
+
+  /** A lasting task waits for ten seconds, while batch tasks take each place that gets free. */
+  @Test
+  @Tag("known-red")
+  void aLastingTaskOfADrainingWorkerRunsAgainThoughUrgentTasksHaveLackedRoom() {
+    lackRoomForUrgentTask();
+    world.workers.get(0).draining = true;
+    world.run(300 + BACK_MILLIS);
+    assertEquals(List.of(), notRunning(), this::ordersSinceDraining);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+}
