--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -136,6 +136,15 @@
     return inherited;
   }
 
+  /**
+   * Tells whether a run of this task may have been under way before.
+   *
+   * @return whether one was ordered or seen, or a former owner may have ordered one
+   */
+  public boolean mayHaveRun() {
+    return lastAttempt > 0 || inherited;
+  }
+
   void inherit() {
     inherited = true;
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/Decision.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Decision.java
@@ -24,6 +24,8 @@
   RUN_STRAY,
   /** A filling run is let work at another share. */
   RUN_PACED,
+  /** A lasting task that has run before waits for a place. */
+  TASK_DEFERRED,
   /** A worker came into the list or changed its listing. */
   WORKER_LISTED,
   /** A worker left the list. */
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/pool/Deferrals.java
@@ -0,0 +1,54 @@
+package org.lavenderstage.core.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.lavenderstage.core.job.Task;
+
+/**
+ * Records why lasting tasks that have run before wait for a place. A task that a round of placement
+ * does not defer is forgotten in the next one.
+ */
+final class Deferrals {
+  /** Shortest time between two records of one task, in milliseconds. */
+  private static final long RECORD_PAUSE_MILLIS = 1_000;
+
+  private final DecisionLog log;
+  private Map<Task, Deferral> former = new HashMap<>();
+  private Map<Task, Deferral> current = new HashMap<>();
+
+  /** Since when a task waits, in how many rounds a place was withheld, and when that was noted. */
+  private record Deferral(long sinceMillis, int withheld, long notedAtMillis) {}
+
+  Deferrals(DecisionLog log) {
+    this.log = log;
+  }
+
+  void beginRound() {
+    former = current;
+    current = new HashMap<>();
+  }
+
+  /** Takes that a search found no place for a task. */
+  void deferred(Task task, PlaceSearch search, long steady) {
+    if (!task.step().spec().lasting() || !task.mayHaveRun()) {
+      return;
+    }
+    Deferral before = former.getOrDefault(task, new Deferral(steady, 0, Long.MIN_VALUE / 2));
+    int withheld = before.withheld() + (search instanceof PlaceSearch.Withheld ? 1 : 0);
+    boolean due = steady - before.notedAtMillis() >= RECORD_PAUSE_MILLIS;
+    if (due) {
+      log.record(
+          Decision.TASK_DEFERRED,
+          "task",
+          task.id(),
+          "why",
+          search.getClass().getSimpleName(),
+          "withheld",
+          withheld,
+          "deferred-ms",
+          steady - before.sinceMillis());
+    }
+    current.put(
+        task, new Deferral(before.sinceMillis(), withheld, due ? steady : before.notedAtMillis()));
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.Run;
@@ -35,6 +34,7 @@
   private final DecisionLog log;
   private final int firstAttempt;
   private long sparingUntil = Long.MIN_VALUE;
+  private final Deferrals deferrals;
   private final Map<Task, Long> makingRoomUntil = new HashMap<>();
 
   Placement(
@@ -51,12 +51,14 @@
     this.order = order;
     this.pressure = pressure;
     this.log = log;
+    this.deferrals = new Deferrals(log);
     this.firstAttempt = Math.toIntExact((term - 1) * ATTEMPTS_PER_TERM) + 1;
   }
 
   /** Makes runs for the waiting tasks that have room. */
   void step(boolean inheritanceOpen, long steady) {
     makingRoomUntil.values().removeIf(until -> until < steady);
+    deferrals.beginRound();
     boolean sparing = steady < sparingUntil;
     WorkerChoice choice = new WorkerChoice(workers.all(), pressure, sparing, steady);
     Set<Object> refused = new HashSet<>();
@@ -111,12 +113,13 @@
     if (refused.contains(shape)) {
       return false;
     }
-    Optional<Worker> worker = choice.choose(task);
-    if (worker.isPresent()) {
-      begin(task, worker.get(), nextAttempt(task), steady);
-      choice.placedOn(worker.get());
+    PlaceSearch search = choice.search(task);
+    if (search instanceof PlaceSearch.Found found) {
+      begin(task, found.worker(), nextAttempt(task), steady);
+      choice.placedOn(found.worker());
       return true;
     }
+    deferrals.deferred(task, search, steady);
     if (spec.maxPerWorker() == 0) {
       refused.add(shape);
     }
@@ -138,13 +141,12 @@
     int attempt = waiting.stream().mapToInt(this::nextAttempt).max().orElseThrow();
     List<Run> placed = new ArrayList<>();
     for (Task task : waiting) {
-      Optional<Worker> worker = choice.choose(task);
-      if (worker.isEmpty()) {
+      if (!(choice.search(task) instanceof PlaceSearch.Found found)) {
         placed.forEach(run -> RunTracker.release(workers.find(run.worker()).orElseThrow(), run));
         return;
       }
-      placed.add(begin(task, worker.get(), attempt, steady));
-      choice.placedOn(worker.get());
+      placed.add(begin(task, found.worker(), attempt, steady));
+      choice.placedOn(found.worker());
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -80,8 +80,8 @@
     this.steadyMillis = steadyMillis;
   }
 
-  /** Returns the best worker that has room, empty where none has. */
-  Optional<Worker> choose(Task task) {
+  /** Looks for the best worker that has room. */
+  PlaceSearch search(Task task) {
     Worker best = null;
     long least = Long.MAX_VALUE;
     int places = 0;
@@ -97,8 +97,11 @@
         }
       }
     }
+    if (best == null) {
+      return new PlaceSearch.NoRoom();
+    }
     boolean spared = sparing && spec.lasting() && places < 2;
-    return spared ? Optional.empty() : Optional.ofNullable(best);
+    return spared ? new PlaceSearch.Withheld() : new PlaceSearch.Found(best);
   }
 
   /** Notes that a run was added to a worker. */
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -122,6 +122,8 @@
   RUN_STRAY(7310),
   /** A filling run is let work at another share. */
   RUN_PACED(7311),
+  /** A lasting task that has run before waits for a place. */
+  TASK_DEFERRED(7312),
   /** A worker came into the list or changed its listing. */
   WORKER_LISTED(7401),
   /** A worker left the list. */
