--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.TaskId;
@@ -72,7 +71,6 @@
 
   /** A lasting task waits for ten seconds, while batch tasks take each place that gets free. */
   @Test
-  @Tag("known-red")
   void aLastingTaskOfADrainingWorkerRunsAgainThoughUrgentTasksHaveLackedRoom() {
     lackRoomForUrgentTask();
     world.workers.get(0).draining = true;
