Place interrupted lasting tasks before all others

What users saw: lasting tasks of draining workers that waited while others started.

Cause: a lasting task that has lost its run took its turn among all lasting ones, by worth for each core-second, and behind urgent tasks. New lasting and urgent tasks that came steadily took each place. Interrupted tasks go first now; they take no more than they had, so that the others lose nothing that they could count on.

Two tests in InterruptedLastingTaskTest, a stream of new lasting tasks and one of urgent tasks: each failed before and passes now.

--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -136,6 +136,16 @@
     return inherited;
   }
 
+  /**
+   * Tells whether this is a lasting task that has lost its run and waits for another.
+   *
+   * @param steadyMillis steady time
+   * @return whether it is
+   */
+  public boolean isInterrupted(long steadyMillis) {
+    return step.spec().lasting() && mayHaveRun() && isWaiting(steadyMillis);
+  }
+
   /**
    * Tells whether a run of this task may have been under way before.
    *
--- a/core/src/main/java/org/lavenderstage/core/pool/Deferrals.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Deferrals.java
@@ -30,7 +30,7 @@
 
   /** Takes that a search found no place for a task. */
   void deferred(Task task, PlaceSearch search, long steady) {
-    if (!task.step().spec().lasting() || !task.mayHaveRun()) {
+    if (!task.isInterrupted(steady)) {
       return;
     }
     Deferral before = former.getOrDefault(task, new Deferral(steady, 0, Long.MIN_VALUE / 2));
--- a/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
@@ -10,14 +10,16 @@
 import org.lavenderstage.core.job.JobRecord;
 import org.lavenderstage.core.job.StepRun;
 import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.job.Task;
 
 /**
- * Orders jobs by need. Urgent jobs that can still earn go first: they need little and are gone
- * soon, while a lasting task keeps its place for good. Then come lasting tasks, then the others by
- * priority. Among urgent jobs the one whose objective is nearest goes first, so that large ones are
- * not passed over; among others, where there is more work than room, the one that gains most for
- * each core-second still to be spent. Jobs past their objective earn little, and past three times
- * that nothing; they come last.
+ * Orders jobs by need. Jobs with interrupted lasting tasks go first, which take no more than they
+ * had. Then come urgent jobs that can still earn: they need little and are gone soon, while a
+ * lasting task keeps its place for good. Then come lasting tasks, then the others by priority.
+ * Among urgent jobs the one whose objective is nearest goes first, so that large ones are not
+ * passed over; among others, where there is more work than room, the one that gains most for each
+ * core-second still to be spent. Jobs past their objective earn little, and past three times that
+ * nothing; they come last.
  */
 final class JobOrder {
   /** Part of a job's worth that does not depend on its size; from the users' rules. */
@@ -55,9 +57,11 @@
   private Ranked rank(Job job, long steadyMillis) {
     double remainingWork = LEAST_WORK_MILLIS;
     boolean lasting = false;
+    boolean interrupted = false;
     for (StepRun step : job.openSteps()) {
       StepSpec spec = step.spec();
       lasting |= spec.lasting();
+      interrupted |= spec.lasting() && hasInterruptedTask(step, steadyMillis);
       remainingWork += cores(spec) * spec.estimateMillis() * step.openCount();
     }
     long objective = objectiveMillis(job.record());
@@ -69,11 +73,23 @@
             : leftMillis >= -(WORTHLESS_AFTER - 1) * objective ? Lateness.LATE : Lateness.WORTHLESS;
     int priority = job.rules().priority();
     boolean urgent = priority == 0 && !lasting && lateness != Lateness.WORTHLESS;
-    Group group = urgent ? Group.URGENT : lasting ? Group.LASTING : Group.OTHER;
+    Group group =
+        interrupted
+            ? Group.INTERRUPTED
+            : urgent ? Group.URGENT : lasting ? Group.LASTING : Group.OTHER;
     double density = worth(job.record()) / remainingWork;
     return new Ranked(job, group, priority, lateness, urgent ? -leftMillis : density);
   }
 
+  private static boolean hasInterruptedTask(StepRun step, long steadyMillis) {
+    for (Task task : step.tasks()) {
+      if (task.isInterrupted(steadyMillis)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private double worth(JobRecord record) {
     MeanWork mean = meanWork.get(record.rules().queue());
     double relative = mean == null || mean.mean() == 0 ? 1 : work(record) / mean.mean();
@@ -148,6 +164,7 @@
 
   /** Kinds of jobs, the most needed first. */
   private enum Group {
+    INTERRUPTED,
     URGENT,
     LASTING,
     OTHER
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -81,11 +81,18 @@
       boolean inheritanceOpen,
       long steady) {
     List<Task> waiting = new ArrayList<>();
+    List<Task> interrupted = new ArrayList<>();
     for (Task task : step.tasks()) {
       if (task.isWaiting(steady) && !(inheritanceOpen && task.isInherited())) {
-        waiting.add(task);
+        (task.isInterrupted(steady) ? interrupted : waiting).add(task);
       }
     }
+    if (!interrupted.isEmpty() && !step.spec().gang()) {
+      // The others take their turn in the next round, when the job goes by them again.
+      placeInterrupted(interrupted, choice, refused, steady);
+      return;
+    }
+    waiting.addAll(interrupted);
     if (waiting.isEmpty()) {
       return;
     }
@@ -100,6 +107,15 @@
     }
   }
 
+  private void placeInterrupted(
+      List<Task> interrupted, WorkerChoice choice, Set<Object> refused, long steady) {
+    for (Task task : interrupted) {
+      if (!placeOne(task, choice, refused, steady)) {
+        return;
+      }
+    }
+  }
+
   private boolean placeOne(Task task, WorkerChoice choice, Set<Object> refused, long steady) {
     StepSpec spec = task.step().spec();
     Object shape =
--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
@@ -62,6 +62,30 @@
         .toList();
   }
 
+  /** A stream of new lasting tasks takes each place, and the interrupted one waits behind them. */
+  @Test
+  void anInterruptedLastingTaskRunsAgainBeforeLastingTasksThatNeverRan() {
+    world.workers.get(0).draining = true;
+    for (int i = 0; i < (300 + BACK_MILLIS) / BATCH_GAP_MILLIS; i++) {
+      world.submit(List.of(PoolWorld.lasting(1, LASTING_CPU)), 0);
+      world.run(BATCH_GAP_MILLIS);
+    }
+    assertEquals(List.of(), notRunning(), this::ordersSinceDraining);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
+  /** Urgent tasks that come steadily take each place, and the interrupted one waits for all. */
+  @Test
+  void anInterruptedLastingTaskRunsAgainThoughUrgentTasksComeSteadily() {
+    world.workers.get(0).draining = true;
+    for (int i = 0; i < (300 + BACK_MILLIS) / BATCH_GAP_MILLIS; i++) {
+      world.submit(List.of(PoolWorld.step(2, BATCH_CPU, 2_000)), 0);
+      world.run(BATCH_GAP_MILLIS);
+    }
+    assertEquals(List.of(), notRunning(), this::ordersSinceDraining);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
   private String ordersSinceDraining() {
     return world.history.stream()
         .dropWhile(line -> !line.contains("draining, true"))
