Keep room for each interrupted lasting task until a piece is large enough

Each interrupted task keeps a worker now, up to a quarter of all; less needed tasks get there what it leaves.

InterruptedLastingTaskTest has a task of 8 cores in a pool full of batch tasks of 3.5: it did not run within 3 s before, and does now.

--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -111,7 +111,7 @@
       List<Task> interrupted, WorkerChoice choice, Set<Object> refused, long steady) {
     for (Task task : interrupted) {
       if (!placeOne(task, choice, refused, steady)) {
-        return;
+        choice.keepPlaceFor(task);
       }
     }
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -411,8 +411,13 @@
     return listing.map(WorkerListing::capacity).orElse(Resources.NONE).minus(used);
   }
 
+  /** Returns the room that is left once the runs that neither last nor fill have ended. */
+  Resources roomSoon() {
+    return free().plus(shortTasks());
+  }
+
   /** Returns what runs take that neither last nor fill, and will give back soon. */
-  Resources shortTasks() {
+  private Resources shortTasks() {
     Resources sum = Resources.NONE;
     for (List<Run> ofTask : runs.values()) {
       for (Run run : ofTask) {
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepRun;
@@ -47,10 +46,14 @@
   /** Standard deviations by which a pressure may be higher than believed. */
   private static final double CAUTION = 1.0;
 
-  /** Worker on which room is kept for a task that fits nowhere, and that room. */
-  private Optional<Worker> keptWorker = Optional.empty();
+  /** Largest part of the workers on which room is kept. */
+  private static final double KEPT_SHARE = 0.25;
 
-  private Resources kept = Resources.NONE;
+  /** Room that is kept for a task that fits nowhere. */
+  private record KeptRoom(Resources room, boolean forInterrupted) {}
+
+  private final Map<Worker, KeptRoom> kept = new HashMap<>();
+  private final Map<Worker, Resources> roomSoon = new HashMap<>();
 
   private final Collection<Worker> workers;
   private final long steadyMillis;
@@ -87,7 +90,7 @@
     int places = 0;
     StepSpec spec = task.step().spec();
     for (Worker worker : workers) {
-      if (isAllowed(worker, task) && fits(worker, spec)) {
+      if (isAllowed(worker, task) && fits(worker, task)) {
         Resources twice = Worker.demand(spec).plus(Worker.demand(spec));
         places += twice.fitsIn(worker.free()) ? 2 : 1;
         long cost = cost(worker, task.step());
@@ -107,6 +110,7 @@
   /** Notes that a run was added to a worker. */
   void placedOn(Worker worker) {
     servingStates.remove(worker);
+    roomSoon.remove(worker);
   }
 
   /** Returns the utilization that a filling task would leave free on the tightest serving task. */
@@ -137,20 +141,22 @@
 
   /**
    * Keeps the worker that has most room, among those that have enough once their short tasks end,
-   * for a task that fits nowhere yet; the first that asks gets it. Less needed tasks get there only
-   * what the task leaves.
+   * for a task that fits nowhere yet: one for each interrupted task, as far as there are, and one
+   * for the first of the others. Less needed tasks get there only what the task leaves.
    */
   void keepPlaceFor(Task task) {
-    if (keptWorker.isPresent()) {
+    boolean interrupted = task.isInterrupted(steadyMillis);
+    long most = Math.max(1, Math.round(KEPT_SHARE * workers.size()));
+    boolean served = !interrupted && kept.values().stream().anyMatch(k -> !k.forInterrupted());
+    if (served || kept.size() >= most) {
       return;
     }
     Resources demand = Worker.demand(task.step().spec());
-    keptWorker =
-        workers.stream()
-            .filter(worker -> isAllowed(worker, task))
-            .filter(worker -> demand.fitsIn(worker.free().plus(worker.shortTasks())))
-            .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()));
-    kept = demand;
+    workers.stream()
+        .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
+        .filter(worker -> demand.fitsIn(roomSoon.computeIfAbsent(worker, Worker::roomSoon)))
+        .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()))
+        .ifPresent(worker -> kept.put(worker, new KeptRoom(demand, interrupted)));
   }
 
   /** Everything but room. */
@@ -167,9 +173,10 @@
         && task.runs().stream().noneMatch(run -> run.worker().equals(worker.id()));
   }
 
-  private boolean fits(Worker worker, StepSpec spec) {
+  private boolean fits(Worker worker, Task task) {
+    StepSpec spec = task.step().spec();
     Resources demand = Worker.demand(spec);
-    if (!demand.fitsIn(worker.free()) || (takesKept(worker, demand) && !spec.filling())) {
+    if (!demand.fitsIn(worker.free()) || takesKept(worker, task)) {
       return false;
     }
     return !spec.filling()
@@ -178,14 +185,21 @@
   }
 
   /**
-   * Tells whether a demand would take room that is kept. Where there is room for it twice over, it
-   * may have it: no lasting task waits beside that much.
+   * Tells whether a task would take room that is kept. Where there is room for it twice over, it
+   * may have it: no lasting task waits beside that much. Against an interrupted task this holds for
+   * others that are interrupted only, or smaller ones would use up each piece before it is large
+   * enough.
    */
-  private boolean takesKept(Worker worker, Resources demand) {
-    boolean here = keptWorker.isPresent() && keptWorker.get() == worker;
-    return here
-        && !demand.plus(kept).fitsIn(worker.free())
-        && !demand.plus(demand).fitsIn(worker.free());
+  private boolean takesKept(Worker worker, Task task) {
+    StepSpec spec = task.step().spec();
+    KeptRoom keptRoom = kept.get(worker);
+    if (keptRoom == null || spec.filling()) {
+      return false;
+    }
+    Resources demand = Worker.demand(spec);
+    boolean mayShare = !keptRoom.forInterrupted() || task.isInterrupted(steadyMillis);
+    return !demand.plus(keptRoom.room()).fitsIn(worker.free())
+        && !(mayShare && demand.plus(demand).fitsIn(worker.free()));
   }
 
   private long cost(Worker worker, StepRun step) {
--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLastingTaskTest.java
@@ -19,6 +19,7 @@
   private static final int WORKER_CPU = 32_000;
   private static final int LASTING_TASKS = 3;
   private static final int LASTING_CPU = 3_000;
+  private static final int LARGE_LASTING_CPU = 8_000;
   private static final int BATCH_CPU = 3_500;
   private static final int BATCH_MILLIS = 2_400;
   private static final int FIRST_BATCH_TASKS = 24;
@@ -29,13 +30,13 @@
   private static final long BACK_MILLIS = 3_000;
 
   private final PoolWorld world = new PoolWorld(SEED, WORKERS);
-  private final Job lasting;
+  private Job lasting;
 
-  InterruptedLastingTaskTest() {
+  private void fillPool(int lastingCpu) {
     world.reportsWaitForEnds = true;
     world.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
     world.run(500);
-    lasting = world.submit(List.of(PoolWorld.lasting(LASTING_TASKS, LASTING_CPU)), 0);
+    lasting = world.submit(List.of(PoolWorld.lasting(LASTING_TASKS, lastingCpu)), 0);
     world.run(200);
     for (int i = 0; i < FIRST_BATCH_TASKS; i++) {
       submitBatchTask(500 + i * BATCH_GAP_MILLIS);
@@ -65,6 +66,7 @@
   /** A stream of new lasting tasks takes each place, and the interrupted one waits behind them. */
   @Test
   void anInterruptedLastingTaskRunsAgainBeforeLastingTasksThatNeverRan() {
+    fillPool(LASTING_CPU);
     world.workers.get(0).draining = true;
     for (int i = 0; i < (300 + BACK_MILLIS) / BATCH_GAP_MILLIS; i++) {
       world.submit(List.of(PoolWorld.lasting(1, LASTING_CPU)), 0);
@@ -77,6 +79,7 @@
   /** Urgent tasks that come steadily take each place, and the interrupted one waits for all. */
   @Test
   void anInterruptedLastingTaskRunsAgainThoughUrgentTasksComeSteadily() {
+    fillPool(LASTING_CPU);
     world.workers.get(0).draining = true;
     for (int i = 0; i < (300 + BACK_MILLIS) / BATCH_GAP_MILLIS; i++) {
       world.submit(List.of(PoolWorld.step(2, BATCH_CPU, 2_000)), 0);
@@ -86,6 +89,16 @@
     assertEquals(List.of(), world.oracle.broken, world::explanation);
   }
 
+  /** Batch tasks take each piece that gets free, so that no worker ever has room enough. */
+  @Test
+  void aLargeInterruptedTaskRunsAgainThoughBatchTasksFitIntoEveryPlaceThatGetsFree() {
+    fillPool(LARGE_LASTING_CPU);
+    world.workers.get(0).draining = true;
+    world.run(300 + BACK_MILLIS);
+    assertEquals(List.of(), notRunning(), this::ordersSinceDraining);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
   private String ordersSinceDraining() {
     return world.history.stream()
         .dropWhile(line -> !line.contains("draining, true"))
@@ -96,6 +109,7 @@
   /** A lasting task waits for ten seconds, while batch tasks take each place that gets free. */
   @Test
   void aLastingTaskOfADrainingWorkerRunsAgainThoughUrgentTasksHaveLackedRoom() {
+    fillPool(LASTING_CPU);
     lackRoomForUrgentTask();
     world.workers.get(0).draining = true;
     world.run(300 + BACK_MILLIS);
