Withhold no place from lasting tasks for an urgent one that fits nowhere ever

Found by reading. The place is withheld only where a worker will have room for the urgent task once its short tasks end.

UrgentLoadTest has a task of twice a worker's size: the lasting one beside it did not run before, and does now.

--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -140,8 +140,8 @@
       refused.add(shape);
     }
     if (!spec.filling() && !spec.lasting()) {
-      choice.keepPlaceFor(task);
-      if (task.step().job().rules().priority() == 0) {
+      boolean willFit = choice.keepPlaceFor(task);
+      if (willFit && task.step().job().rules().priority() == 0) {
         sparingUntil = steady + SPARING_MILLIS;
       }
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepRun;
@@ -143,20 +144,25 @@
    * Keeps the worker that has most room, among those that have enough once their short tasks end,
    * for a task that fits nowhere yet: one for each interrupted task, as far as there are, and one
    * for the first of the others. Less needed tasks get there only what the task leaves.
+   *
+   * @return whether any worker will have enough
    */
-  void keepPlaceFor(Task task) {
+  boolean keepPlaceFor(Task task) {
     boolean interrupted = task.isInterrupted(steadyMillis);
-    long most = Math.max(1, Math.round(KEPT_SHARE * workers.size()));
     boolean served = !interrupted && kept.values().stream().anyMatch(k -> !k.forInterrupted());
-    if (served || kept.size() >= most) {
-      return;
+    if (served) {
+      return true;
     }
     Resources demand = Worker.demand(task.step().spec());
-    workers.stream()
-        .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
-        .filter(worker -> demand.fitsIn(roomSoon.computeIfAbsent(worker, Worker::roomSoon)))
-        .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()))
-        .ifPresent(worker -> kept.put(worker, new KeptRoom(demand, interrupted)));
+    Optional<Worker> roomiest =
+        workers.stream()
+            .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
+            .filter(worker -> demand.fitsIn(roomSoon.computeIfAbsent(worker, Worker::roomSoon)))
+            .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()));
+    if (kept.size() < Math.max(1, Math.round(KEPT_SHARE * workers.size()))) {
+      roomiest.ifPresent(worker -> kept.put(worker, new KeptRoom(demand, interrupted)));
+    }
+    return roomiest.isPresent();
   }
 
   /** Everything but room. */
--- a/core/src/test/java/org/lavenderstage/core/pool/UrgentLoadTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/UrgentLoadTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.TaskId;
 
 /**
  * Lasting tasks come to ask for half more than there is, while small and large urgent jobs come
@@ -65,6 +66,21 @@
     assertEquals(List.of(), world.oracle.broken);
   }
 
+  /** A task larger than any worker lacks room for good, and lasting tasks leave theirs to it. */
+  @Test
+  void anUrgentTaskThatNoWorkerCanHoldWithholdsNoPlaceFromLastingTasks() {
+    PoolWorld world = new PoolWorld(SEED, 1);
+    world.run(500);
+    int capacity = world.workers.get(0).cpuMillis;
+    world.submit(List.of(PoolWorld.step(1, 2 * capacity, RUN_MILLIS)), 0);
+    world.run(200);
+    Job lasting = world.submit(List.of(PoolWorld.lasting(1, capacity - 1_000)), 0);
+    world.run(500);
+    assertTrue(
+        world.oracle.isRunning(new TaskId(lasting.id(), 0, 0, 0)),
+        () -> String.join("\n", world.history));
+  }
+
   private static double inTime(List<Job> jobs) {
     long done =
         jobs.stream()
