Hand an executor's result on once its connection takes the next call

A caller that goes on as soon as it has its result opened a connection that was not needed.

Cause: peekHeaders wraps the response, and the wrapper does not keep the default executor of the response. It was aggregated on whichever loop of the common pool came next, and the result was complete there before the response was; the connection goes back to its pool only with the response, by a task for its own loop. A call made in between found no free connection. A trace of such a case: result at 0 us, joined at 103 us, response done by another loop at 647 us, second connection open at 1017 us. A call made by the result's own continuation always came first.

Ruled out: a request sent twice.

Fix: aggregate on the connection's loop, so that the response's end and the return to the pool are one task of it, and hand the result on in a task behind that one. It costs one turn of the same loop.

Not the test's assumption: its check stays as it was.

--- a/clients/src/main/java/org/lavenderstage/clients/http/HttpExecutorClient.java
+++ b/clients/src/main/java/org/lavenderstage/clients/http/HttpExecutorClient.java
@@ -12,6 +12,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.netty.util.concurrent.EventExecutor;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -62,11 +63,14 @@
             .client()
             .execute(
                 HttpRequest.of(headers(request, id), HttpData.wrap(request.body())),
-                RequestOptions.builder().responseTimeout(timeout).build())
-            .peekHeaders(head::set);
+                RequestOptions.builder().responseTimeout(timeout).build());
+    // The connection is free for the next call once the loop's task that completes the response
+    // has ended; a result handed on earlier, or by another thread, would open a second one.
+    EventExecutor loop = response.defaultSubscriberExecutor();
     return response
-        .aggregate()
-        .handle(
+        .peekHeaders(head::set)
+        .aggregate(loop)
+        .handleAsync(
             (whole, failure) -> {
               Judgement judgement = judge(id, head.get(), whole, failure);
               if (judgement.crossed()) {
@@ -74,7 +78,8 @@
               }
               connections.leave();
               return judgement.result();
-            });
+            },
+            loop);
   }
 
   private ExecutorConnections enter(String address) {
--- a/clients/src/test/java/org/lavenderstage/clients/http/HttpExecutorClientTest.java
+++ b/clients/src/test/java/org/lavenderstage/clients/http/HttpExecutorClientTest.java
@@ -3,14 +3,21 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lavenderstage.clients.ExecutorRequest;
 import org.lavenderstage.clients.ExecutorResult;
 
@@ -18,6 +25,7 @@
 class HttpExecutorClientTest {
   private static final Duration LONG = Duration.ofSeconds(20);
   private static final Duration SHORT = Duration.ofMillis(100);
+  private static final int CALLS_IN_TURN = 20;
   private static final ExecutorRequest REQUEST =
       new ExecutorRequest("r", "w", "s", "k", "text/plain", new byte[] {1, 2});
 
@@ -38,6 +46,36 @@
     }
   }
 
+  /** Guards against a result that is handed on before its connection takes another call. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4})
+  void callersThatGoOnAtOnceOpenNoMoreConnectionsThanCallsInFlight(int callers) throws IOException {
+    try (ScriptedExecutor executor = new ScriptedExecutor(HttpExecutorClientTest::own)) {
+      List<CompletableFuture<Integer>> answered =
+          IntStream.range(0, callers).mapToObj(i -> callInTurn(executor, CALLS_IN_TURN)).toList();
+      for (CompletableFuture<Integer> each : answered) {
+        assertEquals(CALLS_IN_TURN, each.join());
+      }
+      int opened = executor.connections();
+      assertTrue(opened <= callers, () -> opened + " connections for " + callers + " callers");
+      assertEquals(callers * CALLS_IN_TURN, Set.copyOf(executor.ids()).size());
+      assertEquals(callers * CALLS_IN_TURN, executor.ids().size());
+    }
+  }
+
+  /** Makes each call with the result of the one before; returns how many were answered. */
+  private CompletableFuture<Integer> callInTurn(ScriptedExecutor executor, int calls) {
+    if (calls == 0) {
+      return CompletableFuture.completedFuture(0);
+    }
+    return client
+        .execute(executor.address(), REQUEST, LONG)
+        .thenCompose(
+            result ->
+                callInTurn(executor, calls - 1)
+                    .thenApply(rest -> rest + (result instanceof ExecutorResult.Answered ? 1 : 0)));
+  }
+
   @Test
   void aCrossedAnswerIsLostAndItsConnectionIsNotUsedAgain() throws IOException {
     try (ScriptedExecutor executor =
