Drop the record of a worker that leaves empty before it is gone

Cause: a new owner starts no inherited task until every stored worker has reported or its longest lease is over, 9 s after the takeover. A worker that had drained, and had been empty for seconds, stayed stored until it was unlisted and silent, so that an owner that came in that half second waited for a worker that was gone and had run nothing.

Evidence: in the history the tasks end STOPPED on w9 at 1,008,430 under term 3; w2 and w3 are silent with no runs since 1,008,320, and no RUN_ORDERED follows before INHERITANCE_SETTLED.

Why the fix works: the record goes as soon as the worker drains, has reported to this owner, has no run and no start without an answer, and has forgotten every end that is noted. Then nothing of it is left that a later owner could miss, and it takes no run before it is stored again, which happens where it drains no more, restarts in place or lists another end.

The other tests of the pool named JobScheduler*, PoolFaults*, PoolRefusal*, FormerOwner, ManyEnds, ListingGap, InheritedFailures and UnansweredStart pass.

--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -33,6 +33,7 @@
   private int servingCount;
   private long bornMillis;
   private boolean registered;
+  private boolean retired;
   private long storedBornMillis;
   private boolean greeted;
   private boolean reportedAllEnds;
@@ -120,6 +121,19 @@
     storedBornMillis = born;
   }
 
+  /** Tells whether the worker's record was dropped since it leaves and is empty. */
+  boolean isRetired() {
+    return retired;
+  }
+
+  /** Notes that the worker's record is dropped, or that it has to be stored again before a run. */
+  void retire(boolean dropped) {
+    retired = dropped;
+    if (dropped) {
+      registered = false;
+    }
+  }
+
   /**
    * Tells whether this life of the worker is stored, so that the claim was proved since it began. A
    * new life has seen no term, and would take orders of a former owner too.
@@ -203,6 +217,11 @@
     return greeted && !isSilent() && notedUpTo > forgottenUpTo ? notedUpTo : 0;
   }
 
+  /** Tells whether the worker lists no end any more, so that a later owner is told none again. */
+  boolean hasForgottenAllEnds() {
+    return seenUpTo == notedUpTo && notedUpTo == forgottenUpTo;
+  }
+
   void forgot(long number) {
     forgottenUpTo = Math.max(forgottenUpTo, number);
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -68,7 +68,10 @@
     if (worker.bornMillis() == 0) {
       worker.bornAt(listing.bornMillis());
     }
-    if (!worker.isRegistered()) {
+    if (worker.isRetired() && !listing.draining()) {
+      worker.retire(false);
+    }
+    if (!worker.isRegistered() && !worker.isRetired()) {
       unstored.add(worker);
     }
     if (changed) {
@@ -103,6 +106,7 @@
       boolean leaseOver = steady > worker.leaseOverMillis();
       if (worker.listing().map(WorkerListing::draining).orElse(false)) {
         runs.evacuate(worker, steady);
+        retireIfEmpty(worker, steady);
       }
       if (leaseOver && worker.isSilent() && !worker.isIdle()) {
         loseAll(worker, "lease over");
@@ -118,6 +122,19 @@
     }
   }
 
+  /**
+   * Drops the record of a worker that leaves and has nothing left to run or to tell, so that a
+   * later owner does not wait for it once it is gone.
+   */
+  private void retireIfEmpty(Worker worker, long steady) {
+    boolean told = worker.isLifeStored() && worker.hasForgottenAllEnds();
+    boolean empty = worker.isGreeted() && worker.isIdle() && worker.openStarts(steady).isEmpty();
+    if (told && empty && !worker.isSilent() && !unstored.contains(worker)) {
+      worker.retire(true);
+      removals.add(StoredChange.dropWorker(worker.id()));
+    }
+  }
+
   private void forget(Worker worker) {
     unstored.remove(worker);
     if (worker.isRegistered()) {
@@ -222,6 +239,7 @@
     long seenBefore = worker.seenUpTo();
     runs.reported(worker, report, order.sentAtMillis(), steady, wall, orders);
     if (worker.seenUpTo() > seenBefore) {
+      worker.retire(false);
       unstored.add(worker);
     }
     if (worker.seenUpTo() > worker.notedUpTo()) {
@@ -234,6 +252,7 @@
       Worker worker, WorkerReport report, long sentAt, long steady, List<Order> orders) {
     boolean known = worker.bornMillis() != 0;
     worker.rebirth(report.bornMillis());
+    worker.retire(false);
     unstored.add(worker);
     if (!known) {
       return;
@@ -279,7 +298,9 @@
 
   void stored(JournalBatch.NotedEnds noted, long steady) {
     Worker worker = noted.worker();
-    worker.register(noted.bornMillis());
+    if (!worker.isRetired()) {
+      worker.register(noted.bornMillis());
+    }
     if (worker.bornMillis() == noted.bornMillis() && noted.upTo() > worker.notedUpTo()) {
       worker.noted(noted.upTo());
       worker.holdSoon(steady);
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -367,6 +367,39 @@
     }
   }
 
+  /** A new owner waits for workers that had left empty before it came. */
+  @Test
+  void tasksGoOnWhileWorkersAndOwnersAreReplacedInTurn() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      begin(seed, 12);
+      submitLasting(20);
+      run(2_000);
+      replaceInTurn(10, 3);
+      run(3_000);
+      assertNoneStranded();
+    }
+  }
+
+  /** A worker whose record was dropped while it drained takes runs again once it drains no more. */
+  @Test
+  void aWorkerThatNoLongerLeavesTakesRunsAgain() {
+    begin(SEED, 2);
+    submitLasting(2);
+    run(1_000);
+    SimulatedWorker first = world.workers.get(0);
+    SimulatedWorker second = world.workers.get(1);
+    first.draining = true;
+    run(3_000);
+    assertFalse(world.store.containsKey("worker/" + first.id));
+    first.draining = false;
+    run(1_000);
+    second.draining = true;
+    run(3_000);
+    assertEquals(2, count(first));
+    assertTrue(world.store.containsKey("worker/" + first.id));
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
