--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -53,7 +53,9 @@
     /** Steps that last. */
     LASTING,
     /** A stop takes a while. */
-    SLOW_STOPS
+    SLOW_STOPS,
+    /** Workers say that they leave, and some that they do not after all. */
+    DRAIN
   }
 
   /** Longest time that an owner gives orders after its claim was proved last, in milliseconds. */
@@ -95,6 +97,7 @@
     world.unlisted.clear();
     for (SimulatedWorker worker : world.workers) {
       worker.cut = false;
+      worker.draining = false;
       worker.takenCpuMillis = 0;
       if (!worker.up) {
         restart(world, worker);
@@ -130,6 +133,7 @@
       case CRASH -> crashOrRestart(world, worker);
       case MOVE -> move(world, worker, random);
       case CUT -> worker.cut = !worker.cut;
+      case DRAIN -> worker.draining = !worker.draining;
       case OWNER_CUT -> toggle(world.beyondOwner, worker);
       case NEW_OWNER -> world.replaceOwner();
       case FORMER_OWNER -> replaceOwner(world, random, random.nextInt(PROOF_MILLIS));
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
@@ -40,6 +40,22 @@
             Fault.SLOW_STOPS));
   }
 
+  /** Guards the records that are dropped while workers drain and owners follow each other. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereWorkersDrainAndOwnersGo(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.DRAIN,
+            Fault.CRASH,
+            Fault.CUT,
+            Fault.NEW_OWNER,
+            Fault.STORE_SLOW,
+            Fault.CHECKPOINTS,
+            Fault.LASTING));
+  }
+
   /** Guards against a worker's address that belongs to another worker's next life. */
   @ParameterizedTest
   @MethodSource("seeds")
