--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.StepSpec;
@@ -474,14 +473,12 @@
 
   /** Lasting tasks leave the last place to urgent ones that are done, and others take it. */
   @Test
-  @Tag("known-red")
   void tasksGoBeforeThoseOfLessNeedAfterABurstOfUrgentOnes() {
     drainUnderLoad(2 * CPU, 2 * CPU - 100, 2);
   }
 
   /** Smaller tasks of less need take the room that a lasting one would need, bit by bit. */
   @Test
-  @Tag("known-red")
   void tasksGoBeforeSmallerOnesOfLessNeed() {
     drainUnderLoad(2 * CPU, CPU / 2, 0);
   }
