--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -111,8 +111,8 @@
   private void placeInterrupted(
       List<Task> interrupted, WorkerChoice choice, Set<Object> refused, long steady) {
     for (Task task : interrupted) {
-      if (!placeOne(task, choice, refused, steady)) {
-        choice.keepPlaceFor(task);
+      if (!placeOne(task, choice, refused, steady) && !choice.keepPlaceForInterrupted(task)) {
+        return;
       }
     }
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -142,29 +142,43 @@
 
   /**
    * Keeps the worker that has most room, among those that have enough once their short tasks end,
-   * for a task that fits nowhere yet: one for each interrupted task, as far as there are, and one
-   * for the first of the others. Less needed tasks get there only what the task leaves.
+   * for an interrupted task that fits nowhere yet. Less needed tasks get there only what it leaves.
+   *
+   * @return whether one is kept
+   */
+  boolean keepPlaceForInterrupted(Task task) {
+    return hasRoomToKeep() && keepRoomiest(task, true);
+  }
+
+  /**
+   * Does the same for another task, once in a round: the first that asks gets it.
    *
    * @return whether any worker will have enough
    */
   boolean keepPlaceFor(Task task) {
-    boolean interrupted = task.isInterrupted(steadyMillis);
-    boolean served = !interrupted && kept.values().stream().anyMatch(k -> !k.forInterrupted());
-    if (served) {
-      return true;
-    }
+    boolean served = kept.values().stream().anyMatch(room -> !room.forInterrupted());
+    return served || (hasRoomToKeep() ? keepRoomiest(task, false) : roomiest(task).isPresent());
+  }
+
+  private boolean hasRoomToKeep() {
+    return kept.size() < Math.max(1, Math.round(KEPT_SHARE * workers.size()));
+  }
+
+  private boolean keepRoomiest(Task task, boolean interrupted) {
+    Optional<Worker> roomiest = roomiest(task);
     Resources demand = Worker.demand(task.step().spec());
-    Optional<Worker> roomiest =
-        workers.stream()
-            .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
-            .filter(worker -> demand.fitsIn(roomSoon.computeIfAbsent(worker, Worker::roomSoon)))
-            .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()));
-    if (kept.size() < Math.max(1, Math.round(KEPT_SHARE * workers.size()))) {
-      roomiest.ifPresent(worker -> kept.put(worker, new KeptRoom(demand, interrupted)));
-    }
+    roomiest.ifPresent(worker -> kept.put(worker, new KeptRoom(demand, interrupted)));
     return roomiest.isPresent();
   }
 
+  private Optional<Worker> roomiest(Task task) {
+    Resources demand = Worker.demand(task.step().spec());
+    return workers.stream()
+        .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
+        .filter(worker -> demand.fitsIn(roomSoon.computeIfAbsent(worker, Worker::roomSoon)))
+        .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()));
+  }
+
   /** Everything but room. */
   boolean isAllowed(Worker worker, Task task) {
     StepRun step = task.step();
