Pause all fillers beside a task that stays over its target

Cause: a queue near its limit shows a long tail, but not by how much it is overloaded, so the excess that the guard reads ends at 1. Where the pressure of an image is believed to be large enough, slowing one filler seems to do, and each further one waits for another report, a second later where nothing ends.

Now a task that is over its target for a second on end pauses everything that fills beside it, whatever is believed of it, and its worker is asked for reports of half a second until the target holds.

SimulatedInterference gets a tail averaged over the span of a report, pressures that swing, and a measure of the time over target that fillers alone cause; other tests keep the histories that they had.

--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 
@@ -28,9 +29,18 @@
   /** How long a filler stays at the lowest pace before it is moved, in milliseconds. */
   private static final long CROWDED_MILLIS = 1_500;
 
+  /**
+   * How long a serving task may be over its target before all that fills beside it pauses, in
+   * milliseconds. With the reports before and after, well within the time that counts as harm.
+   */
+  private static final long OVER_MILLIS = 1_000;
+
   private final FillPressure pressure;
   private final RunTracker runs;
 
+  /** When serving tasks were first reported over their targets; weak, since runs end elsewhere. */
+  private final Map<Run, Long> overSince = new WeakHashMap<>();
+
   FillGuard(FillPressure pressure, RunTracker runs) {
     this.pressure = pressure;
     this.runs = runs;
@@ -80,10 +90,23 @@
     return shares;
   }
 
+  private boolean isOverForLong(Run serving, boolean over, long steady) {
+    if (!over) {
+      overSince.remove(serving);
+      return false;
+    }
+    return steady - overSince.computeIfAbsent(serving, key -> steady) >= OVER_MILLIS;
+  }
+
   /** Lowers the shares of the fillers that press hardest until a serving task is in its target. */
   private void restrain(Run serving, Worker worker, Map<Run, Double> shares, long steady) {
     StepSpec spec = serving.task().step().spec();
     boolean over = serving.load() > spec.tailTargetMillis();
+    if (isOverForLong(serving, over, steady)) {
+      // A queue near its limit shows a tail, not by how much it is overloaded.
+      shares.replaceAll((run, share) -> 0.0);
+      return;
+    }
     double limit = pressure.limit(spec) * (1 - HEADROOM);
     double expected = pressure.ownUtilization(serving.task().step()) - limit;
     double measured = pressure.shownUtilization(serving) - limit;
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lavenderstage.core.job.Run;
+import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.WorkerRecord;
 
@@ -24,6 +26,9 @@
   /** The same while it is not known whether a run is there; the longest time of a stop. */
   private static final int UNSETTLED_WAIT_MILLIS = 200;
 
+  /** The same while a serving task is over its target; the time that a report's figures cover. */
+  private static final int OVER_TARGET_WAIT_MILLIS = (int) FillPressure.REPORT_SPAN_MILLIS;
+
   /** Pause before a worker that gave no report is asked again, in milliseconds. */
   private static final long RETRY_MILLIS = 250;
 
@@ -136,8 +141,24 @@
       lease = leaseOn(worker, steady);
     }
     boolean wait = worker.isGreeted() && worker.seenUpTo() == worker.notedUpTo();
-    int longestWait = worker.hasUnsettledRuns() ? UNSETTLED_WAIT_MILLIS : REPORT_WAIT_MILLIS;
-    return new Order.Hold(worker, lease, worker.endsToForget(), wait ? longestWait : 0, steady);
+    int longestWait = wait ? longestReportWait(worker) : 0;
+    return new Order.Hold(worker, lease, worker.endsToForget(), longestWait, steady);
+  }
+
+  private static int longestReportWait(Worker worker) {
+    if (worker.hasUnsettledRuns()) {
+      return UNSETTLED_WAIT_MILLIS;
+    }
+    boolean over =
+        worker.fillingCount() > 0
+            && worker.servingCount() > 0
+            && worker.runs().stream().anyMatch(WorkerTable::isOverTarget);
+    return over ? OVER_TARGET_WAIT_MILLIS : REPORT_WAIT_MILLIS;
+  }
+
+  private static boolean isOverTarget(Run run) {
+    StepSpec spec = run.task().step().spec();
+    return Worker.serves(spec) && run.load() > spec.tailTargetMillis();
   }
 
   /** Returns the end of a new lease on the worker's clock. */
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillingHarmTest.java
@@ -0,0 +1,130 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.StepSpec;
+
+/**
+ * Wide filling jobs of images that may ruin serving tasks, on workers that report a rough tail once
+ * a second and without any fault. The bound is the users': no serving task over its target for four
+ * seconds on end because of fillers.
+ */
+class FillingHarmTest {
+  private static final int WORKERS = 8;
+  private static final int WORKER_CPU = 32_000;
+  private static final int SERVING_IMAGES = 5;
+  private static final int FILLING_IMAGES = 9;
+  private static final int TARGET_MILLIS = 24;
+  private static final int FLOOR_MILLIS = 4;
+  private static final long HARM_MILLIS = 4_000;
+  private static final long MEASURED_MILLIS = 60_000;
+
+  private static StepSpec serving(String image) {
+    return new StepSpec(
+        6,
+        6_400,
+        13_000,
+        0,
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        1,
+        false,
+        true,
+        image,
+        TARGET_MILLIS,
+        false,
+        0);
+  }
+
+  private static StepSpec filling(
+      String image, int count, long millis, boolean checkpointing, List<Integer> dependsOn) {
+    return new StepSpec(
+        count,
+        3_500,
+        6_400,
+        0,
+        millis,
+        dependsOn,
+        checkpointing,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        image,
+        0,
+        true,
+        0);
+  }
+
+  private static SimulatedInterference interference(long seed, Random random) {
+    SimulatedInterference model = new SimulatedInterference(seed, 0.48, 0.5, 10_000);
+    model.floorMillis = FLOOR_MILLIS;
+    model.pressureSwing = 0.3;
+    model.spanMillis = FillPressure.REPORT_SPAN_MILLIS;
+    for (int filling = 0; filling < FILLING_IMAGES; filling++) {
+      boolean heavy = random.nextDouble() < 0.65;
+      int ruined = random.nextInt(SERVING_IMAGES);
+      for (int serving = 0; serving < SERVING_IMAGES; serving++) {
+        boolean presses = heavy && (serving == ruined || random.nextDouble() < 0.2);
+        double pressure = presses ? 1.5 + 3.5 * random.nextDouble() : 0.07;
+        model.press("f" + filling, "s" + serving, pressure);
+      }
+    }
+    return model;
+  }
+
+  private static SimulatedInterference play(long seed) {
+    Random random = new Random(seed);
+    SimulatedInterference model = interference(seed, random);
+    PoolWorld world = new PoolWorld(seed, WORKERS);
+    world.reportsWaitForEnds = true;
+    for (SimulatedWorker worker : world.workers) {
+      worker.cpuMillis = WORKER_CPU;
+      worker.interference = Optional.of(model);
+    }
+    world.run(500);
+    for (int i = 0; i < SERVING_IMAGES; i++) {
+      world.submit(List.of(serving("s" + i)), 0);
+    }
+    world.run(5_000);
+    long end = world.now + MEASURED_MILLIS;
+    while (world.now < end) {
+      String image = "f" + random.nextInt(FILLING_IMAGES);
+      int count = 2 + random.nextInt(12);
+      long millis = 1_000L + random.nextInt(4_000);
+      boolean saves = random.nextDouble() < 0.85;
+      world.submit(
+          List.of(
+              filling(image, count, millis, saves, List.of()),
+              filling(image, count, millis, saves, List.of(0))),
+          2);
+      world.run(400 + random.nextInt(1_600));
+    }
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    return model;
+  }
+
+  /** Fillers were slowed one by one, a report each, beside a task whose tail showed no limit. */
+  @Test
+  void noServingTaskIsOverItsTargetForLongWhereTasksOfOneJobPressTogether() {
+    for (long seed : List.of(19L, 62L)) {
+      SimulatedInterference model = play(seed);
+      assertTrue(
+          model.longestHarmMillis < HARM_MILLIS,
+          "seed " + seed + ": " + model.longestHarmMillis + " ms");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -0,0 +1,157 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.JobRecord;
+import org.lavenderstage.core.job.QueueRules;
+import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.job.TaskId;
+import org.lavenderstage.core.placement.Resources;
+
+/** What becomes of orders to slow fillers beside a serving task, order by order. */
+class PaceOrderTest {
+  private static final long BORN = 900_000;
+  private static final int TARGET_MILLIS = 24;
+  private static final int GOOD_TAIL_MILLIS = 7;
+  private static final int BAD_TAIL_MILLIS = 190;
+  private static final int SLIGHTLY_BAD_TAIL_MILLIS = 40;
+  private static final int FILLER_CPU = 3_500;
+
+  private final Map<TaskId, Integer> running = new HashMap<>();
+  private final List<Order> sent = new ArrayList<>();
+  private final JobScheduler scheduler = scheduler(1);
+  private long now = 1_000_000;
+  private int fillerLoad = FILLER_CPU;
+
+  private static JobScheduler scheduler(long term) {
+    return new JobScheduler(
+        term, new PoolTiming(6_000, 300, 2_500), 120_000, (decision, values) -> {});
+  }
+
+  private static WorkerListing listing() {
+    return new WorkerListing(
+        "w0",
+        "service",
+        "10.0.0.0:80",
+        "domain",
+        "rack",
+        Set.of("rack"),
+        new Resources(32_000, 256_000, 0),
+        false,
+        BORN);
+  }
+
+  private static StepSpec step(
+      int count, int cpuMillis, String image, boolean lasting, int target) {
+    return new StepSpec(
+        count, cpuMillis, 4_000, 0, 60_000, List.of(), false, false, false, "", "", 0, false,
+        lasting, image, target, !lasting, 0);
+  }
+
+  private static JobRecord job(String id, StepSpec step) {
+    QueueRules rules = new QueueRules("queue0", "service", 0, 3, 2.0, 1_000);
+    return new JobRecord(id, rules, 1_000_000, "payload", List.of(step), 0, 0, 0);
+  }
+
+  private static final JobRecord SERVING =
+      job("0000000000000001", step(1, 6_400, "serving", true, TARGET_MILLIS));
+
+  private static final JobRecord FILLING =
+      job("0000000000000002", step(3, FILLER_CPU, "filling", false, 0));
+
+  private void run(long millis) {
+    for (long until = now + millis; now < until; now += 10) {
+      sent.addAll(scheduler.step(now, now));
+      scheduler.drainJournal().ifPresent(batch -> scheduler.stored(batch, now));
+    }
+  }
+
+  private <T extends Order> List<T> take(Class<T> kind) {
+    List<T> taken = sent.stream().filter(kind::isInstance).map(kind::cast).toList();
+    sent.removeAll(taken);
+    return taken;
+  }
+
+  private void answerStarts() {
+    for (Order.Start start : take(Order.Start.class)) {
+      running.put(start.run().task().id(), start.run().attempt());
+      scheduler.ended(start, new OrderResult.Accepted(now - BORN), now, now);
+    }
+  }
+
+  /** Lets a second pass and the worker report; returns the orders of pace that follow. */
+  private List<Order.Pace> report(int tailMillis) {
+    run(1_000);
+    answerStarts();
+    List<WorkerReport.RunningTask> rows = new ArrayList<>();
+    running.forEach(
+        (task, attempt) -> {
+          int load = task.job().equals(SERVING.job()) ? tailMillis : fillerLoad;
+          rows.add(new WorkerReport.RunningTask(task, attempt, "", 100, load));
+        });
+    WorkerReport report = new WorkerReport(now - BORN, BORN, rows, List.of());
+    for (Order.Hold hold : take(Order.Hold.class)) {
+      scheduler.ended(hold, new OrderResult.Reported(report), now, now);
+    }
+    run(50);
+    return take(Order.Pace.class);
+  }
+
+  private void answer(List<Order.Pace> paces, OrderResult result) {
+    paces.forEach(pace -> scheduler.ended(pace, result, now, now));
+  }
+
+  private void accept(List<Order.Pace> paces) {
+    answer(paces, new OrderResult.Accepted(now - BORN));
+  }
+
+  /** Brings three fillers beside a serving task. */
+  private void fill() {
+    scheduler.listed(listing());
+    run(50);
+    report(GOOD_TAIL_MILLIS);
+    scheduler.submit(SERVING, now);
+    run(100);
+    answerStarts();
+    for (int i = 0; i < 5; i++) {
+      report(GOOD_TAIL_MILLIS);
+    }
+    scheduler.submit(FILLING, now);
+    run(100);
+    answerStarts();
+    accept(report(GOOD_TAIL_MILLIS));
+    assertEquals(4, running.size());
+  }
+
+  /** Fillers were slowed one by one, a report each, beside a task whose tail showed no limit. */
+  @Test
+  void allFillersPauseWhereATaskIsOverItsTargetForASecondReport() {
+    fill();
+    Map<TaskId, Integer> paces = new HashMap<>();
+    for (int i = 0; i < 2; i++) {
+      List<Order.Pace> ordered = report(SLIGHTLY_BAD_TAIL_MILLIS);
+      accept(ordered);
+      ordered.forEach(pace -> paces.put(pace.run().task().id(), pace.percent()));
+    }
+    assertEquals(3, paces.size());
+    assertEquals(Set.of(0), Set.copyOf(paces.values()));
+  }
+
+  /** A worker may wait a second for an end before it reports, four times within the harm. */
+  @Test
+  void aWorkerReportsTwiceASecondWhileATaskIsOverItsTarget() {
+    fill();
+    report(BAD_TAIL_MILLIS);
+    List<Order.Hold> holds = take(Order.Hold.class);
+    assertTrue(
+        !holds.isEmpty() && holds.stream().allMatch(hold -> hold.waitMillis() <= 500),
+        () -> "asked for: " + holds);
+  }
+}
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedInterference.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedInterference.java
@@ -1,5 +1,7 @@
 package org.lavenderstage.core.pool;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
@@ -22,13 +24,31 @@
   private final double swing;
   private final long periodMillis;
 
+  /** Tail of a serving task without any load, in milliseconds. */
+  int floorMillis = FLOOR_MILLIS;
+
+  /** Time over which a reported tail is averaged, in milliseconds; 0 for that of the moment. */
+  long spanMillis;
+
+  /** Part by which the pressure of each pair rises and falls. */
+  double pressureSwing;
+
   /** Time over target on end, in milliseconds, by task. */
   private final Map<TaskId, Long> overSince = new HashMap<>();
 
+  /** Time on end over a target that a task's own load would meet, in milliseconds, by task. */
+  private final Map<TaskId, Long> harmedSince = new HashMap<>();
+
+  private final Map<TaskId, Deque<Tail>> tails = new HashMap<>();
+
   double fillingCoreMillis;
   long servingMillis;
   long overMillis;
   long longestOverMillis;
+  long longestHarmMillis;
+
+  /** A tail at a time. */
+  private record Tail(long at, double millis) {}
 
   /** A task on a worker and the part of its speed that it is let work at. */
   record Share(TaskId task, StepSpec spec, double pace) {}
@@ -46,8 +66,17 @@
   }
 
   private double own(TaskId task, long now) {
-    double phase = Math.floorMod(task.job().hashCode(), 100) / 100.0;
-    return meanLoad * (1 + swing * Math.sin(2 * Math.PI * (now / (double) periodMillis + phase)));
+    return meanLoad * (1 + swing * swing(task.job().hashCode(), now));
+  }
+
+  /** Returns -1 to 1, by a sine whose phase depends on a hash. */
+  private double swing(int hash, long now) {
+    double phase = Math.floorMod(hash, 100) / 100.0;
+    return Math.sin(2 * Math.PI * (now / (double) periodMillis + phase));
+  }
+
+  private double tail(double utilization) {
+    return floorMillis / (1 - Math.min(MOST_UTILIZATION, utilization));
   }
 
   private double utilization(SimulatedWorker worker, TaskId task, StepSpec spec, long now) {
@@ -56,6 +85,8 @@
       if (share.spec().filling()) {
         double pressure =
             pressures.getOrDefault(share.spec().image(), Map.of()).getOrDefault(spec.image(), 0.0);
+        int pair = 31 * share.spec().image().hashCode() + spec.image().hashCode();
+        pressure *= 1 + pressureSwing * swing(pair, now);
         sum += pressure * share.pace() * share.spec().cpuMillis() / worker.cpuMillis;
       }
     }
@@ -87,7 +118,15 @@
         fillingCoreMillis += worked * spec.cpuMillis() / 1_000;
       } else if (Worker.serves(spec)) {
         servingMillis += millis;
-        double tail = FLOOR_MILLIS / (1 - utilization(worker, share.task(), spec, now));
+        double tail = tail(utilization(worker, share.task(), spec, now));
+        keep(share.task(), new Tail(now, tail));
+        boolean meetsAlone = tail(own(share.task(), now)) <= spec.tailTargetMillis();
+        if (tail <= spec.tailTargetMillis() || !meetsAlone) {
+          harmedSince.remove(share.task());
+        } else {
+          long since = harmedSince.computeIfAbsent(share.task(), key -> now);
+          longestHarmMillis = Math.max(longestHarmMillis, now - since);
+        }
         if (tail <= spec.tailTargetMillis()) {
           overSince.remove(share.task());
         } else {
@@ -99,6 +138,14 @@
     }
   }
 
+  private void keep(TaskId task, Tail tail) {
+    Deque<Tail> kept = tails.computeIfAbsent(task, key -> new ArrayDeque<>());
+    kept.add(tail);
+    while (kept.peek().at() <= tail.at() - spanMillis && kept.size() > 1) {
+      kept.remove();
+    }
+  }
+
   /** Returns the rough figure that a worker reports of a task. */
   int load(SimulatedWorker worker, TaskId task, long now) {
     for (Share share : worker.shares()) {
@@ -108,7 +155,10 @@
           return (int) (spec.cpuMillis() * share.pace() * speed(worker, now));
         }
         double noise = 1 + TAIL_NOISE * random.nextGaussian();
-        double tail = FLOOR_MILLIS / (1 - utilization(worker, task, spec, now));
+        double tail =
+            spanMillis > 0 && tails.containsKey(task)
+                ? tails.get(task).stream().mapToDouble(Tail::millis).average().orElseThrow()
+                : tail(utilization(worker, task, spec, now));
         return Worker.serves(spec) ? (int) Math.round(tail * noise) : spec.cpuMillis();
       }
     }
