Repeat an order of a pace that got no answer or was rejected

The guard took a pace for granted once it was ordered: it orders one only where it differs from the one ordered last. An order to pause that was lost, or rejected by a worker that calls itself unhealthy, was never sent again, so that the filler worked on at full speed beside a task over its target.

Now a pace that was not accepted is in doubt and is ordered again after the next report. The time since which a pace holds counts from its first order, so that a crowded filler is still moved. Both tests fail first.

--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -29,6 +29,7 @@
   private int load;
   private int pacePercent = 100;
   private long paceSinceMillis;
+  private boolean paceInDoubt;
   private int unansweredStarts;
   private long startLeaseMillis;
   private long startLife;
@@ -221,14 +222,31 @@
   }
 
   /**
-   * Changes the share at which the task is let work.
+   * Notes that the share at which the task is let work was ordered.
    *
    * @param share percent
    * @param steadyMillis steady time
    */
   public void pace(int share, long steadyMillis) {
-    pacePercent = share;
-    paceSinceMillis = steadyMillis;
+    if (share != pacePercent) {
+      pacePercent = share;
+      paceSinceMillis = steadyMillis;
+    }
+    paceInDoubt = false;
+  }
+
+  /** Notes that the worker may let the task work at another share than the one ordered last. */
+  public void doubtPace() {
+    paceInDoubt = true;
+  }
+
+  /**
+   * Tells whether the share has to be ordered again.
+   *
+   * @return whether the worker may let the task work at another share
+   */
+  public boolean isPaceInDoubt() {
+    return paceInDoubt;
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -57,13 +57,14 @@
     for (Map.Entry<Run, Double> filler : shares.entrySet()) {
       Run run = filler.getKey();
       int pace = (int) Math.round(filler.getValue() * FULL_PERCENT) / PACE_STEP * PACE_STEP;
-      if (pace != run.pacePercent()) {
-        run.pace(pace, steady);
-        orders.add(new Order.Pace(worker, run, pace));
-      } else if (pace < PACE_STEP
+      if (pace == run.pacePercent()
+          && pace < PACE_STEP
           && run.task().step().spec().checkpointing()
           && steady - run.paceSinceMillis() > CROWDED_MILLIS) {
         runs.stop(run, "it would slow tasks that serve users", steady);
+      } else if (pace != run.pacePercent() || run.isPaceInDoubt()) {
+        run.pace(pace, steady);
+        orders.add(new Order.Pace(worker, run, pace));
       }
     }
     return orders;
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -218,6 +218,7 @@
   }
 
   private void paceEnded(Order.Pace pace, OrderResult result) {
+    runs.paceEnded(pace.run(), result);
     log.record(
         Decision.RUN_PACED,
         "task",
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -130,6 +130,14 @@
     }
   }
 
+  /** Takes the answer to the order to let a run work at a share of its speed. */
+  void paceEnded(Run run, OrderResult result) {
+    if (result instanceof OrderResult.Accepted) {
+      return;
+    }
+    run.doubtPace();
+  }
+
   /** Marks a run as one to stop. */
   void stop(Run run, String why, long steady) {
     if (run.state() == Run.State.STOPPING) {
--- a/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.JobRecord;
 import org.lavenderstage.core.job.QueueRules;
+import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.placement.Resources;
@@ -130,6 +132,29 @@
     assertEquals(4, running.size());
   }
 
+  /** Lets the serving task stay over its target until every filler is told to pause. */
+  private List<Order.Pace> pauseAll() {
+    List<Order.Pace> last = report(BAD_TAIL_MILLIS);
+    for (int i = 0; i < 5 && last.stream().noneMatch(pace -> pace.percent() == 0); i++) {
+      accept(last);
+      last = report(BAD_TAIL_MILLIS);
+    }
+    return last;
+  }
+
+  private static Set<Integer> percents(List<Order.Pace> paces) {
+    return paces.stream().map(Order.Pace::percent).collect(Collectors.toUnmodifiableSet());
+  }
+
+  private static void assertPaused(List<Order.Pace> again, List<Order.Pace> before) {
+    assertEquals(runs(before), runs(again));
+    assertEquals(Set.of(0), percents(again));
+  }
+
+  private static Set<Run> runs(List<Order.Pace> paces) {
+    return paces.stream().map(Order.Pace::run).collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Fillers were slowed one by one, a report each, beside a task whose tail showed no limit. */
   @Test
   void allFillersPauseWhereATaskIsOverItsTargetForASecondReport() {
@@ -154,4 +179,24 @@
         !holds.isEmpty() && holds.stream().allMatch(hold -> hold.waitMillis() <= 500),
         () -> "asked for: " + holds);
   }
+
+  /** A pace whose order got no answer was believed to hold. */
+  @Test
+  void anOrderToPauseThatGetsNoAnswerIsRepeatedAfterTheNextReport() {
+    fill();
+    List<Order.Pace> lost = pauseAll();
+    answer(lost, new OrderResult.Unanswered("late"));
+    List<Order.Pace> again = report(BAD_TAIL_MILLIS);
+    assertPaused(again, lost);
+  }
+
+  /** A pace whose order was rejected was believed to hold. */
+  @Test
+  void anOrderToPauseThatIsRejectedIsRepeatedAfterTheNextReport() {
+    fill();
+    List<Order.Pace> rejected = pauseAll();
+    answer(rejected, new OrderResult.Rejected(Rejection.UNHEALTHY));
+    List<Order.Pace> again = report(BAD_TAIL_MILLIS);
+    assertPaused(again, rejected);
+  }
 }
