Take a fenced order of a pace for word of another owner

A worker that has seen a higher term rejects an order of a pace as fenced. Starts, stops and reports told the owner of that; the answer to a pace was only logged. The test fails first.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -135,6 +135,8 @@
     if (result instanceof OrderResult.Accepted) {
       return;
     }
+    fenced |=
+        result instanceof OrderResult.Rejected rejected && rejected.reason() == Rejection.FENCED;
     run.doubtPace();
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -199,4 +199,12 @@
     List<Order.Pace> again = report(BAD_TAIL_MILLIS);
     assertPaused(again, rejected);
   }
+
+  /** An order to pace answered as outdated by the term was taken for one that was carried out. */
+  @Test
+  void anOrderToPauseThatIsFencedTellsOfAnotherOwner() {
+    fill();
+    answer(pauseAll(), new OrderResult.Rejected(Rejection.FENCED));
+    assertTrue(scheduler.isFenced());
+  }
 }
