Slow a filler again that works faster than its pace

A worker may carry out an order that it left unanswered seconds later, after newer ones. An order to speed up then undoes a pause that was accepted, and the guard, which believes the pause, sends nothing more.

The report shows what each filler uses. One that uses clearly more than its pace allows, once a report can show nothing of the pace before, is given its pace again. The test fails first.

--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -35,6 +35,12 @@
    */
   private static final long OVER_MILLIS = 1_000;
 
+  /**
+   * Time from an order until a report shows nothing of the pace before, in milliseconds; the span
+   * of a report and as much for the order to take effect.
+   */
+  private static final long SETTLED_MILLIS = 2 * FillPressure.REPORT_SPAN_MILLIS;
+
   private final FillPressure pressure;
   private final RunTracker runs;
 
@@ -62,7 +68,7 @@
           && run.task().step().spec().checkpointing()
           && steady - run.paceSinceMillis() > CROWDED_MILLIS) {
         runs.stop(run, "it would slow tasks that serve users", steady);
-      } else if (pace != run.pacePercent() || run.isPaceInDoubt()) {
+      } else if (pace != run.pacePercent() || run.isPaceInDoubt() || isTooFast(run, steady)) {
         run.pace(pace, steady);
         orders.add(new Order.Pace(worker, run, pace));
       }
@@ -70,6 +76,19 @@
     return orders;
   }
 
+  /**
+   * Tells whether a run uses more than its pace allows, as after an older order carried out late.
+   */
+  private static boolean isTooFast(Run run, long steady) {
+    return steady - run.paceSinceMillis() > SETTLED_MILLIS
+        && paceShownBy(run.task().step().spec(), run.load()) > run.pacePercent() + PACE_STEP;
+  }
+
+  /** Returns the pace in percent at which a filling task would use so much of the processors. */
+  private static int paceShownBy(StepSpec filling, int cpuMillis) {
+    return (int) Math.min(FULL_PERCENT, 100L * cpuMillis / Math.max(1, filling.cpuMillis()));
+  }
+
   /**
    * Returns the part of its full speed that each running filler of a worker may work at, in the
    * order of the worker's runs: a run has an identity hash, and an order by that would let chance
--- a/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -200,6 +200,17 @@
     assertPaused(again, rejected);
   }
 
+  /** An order without an answer may be carried out after a newer one, which then holds no more. */
+  @Test
+  void aFillerThatWorksFasterThanItsPaceIsSlowedAgain() {
+    fill();
+    accept(pauseAll());
+    accept(report(BAD_TAIL_MILLIS));
+    report(BAD_TAIL_MILLIS);
+    List<Order.Pace> again = report(BAD_TAIL_MILLIS);
+    assertEquals(Set.of(0), percents(again), () -> "ordered: " + again);
+  }
+
   /** An order to pace answered as outdated by the term was taken for one that was carried out. */
   @Test
   void anOrderToPauseThatIsFencedTellsOfAnotherOwner() {
