Order the pace of a former owner's filler anew

A new owner believed that each filler it found worked at full speed. One that the former owner had paused stood still for as long as it was owed nothing less than full speed, and one at a low pace could be sped up by an order that was meant to slow it.

Now the pace of such a filler is taken from what it uses, and is ordered whatever it is. The test fails first.

--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -85,7 +85,7 @@
   }
 
   /** Returns the pace in percent at which a filling task would use so much of the processors. */
-  private static int paceShownBy(StepSpec filling, int cpuMillis) {
+  static int paceShownBy(StepSpec filling, int cpuMillis) {
     return (int) Math.min(FULL_PERCENT, 100L * cpuMillis / Math.max(1, filling.cpuMillis()));
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -205,6 +205,10 @@
 
   private static Run adopt(Worker worker, Task task, WorkerReport.RunningTask row, long steady) {
     Run run = new Run(task, row.attempt(), worker.id(), Run.State.RUNNING, steady);
+    if (task.step().spec().filling()) {
+      run.pace(FillGuard.paceShownBy(task.step().spec(), row.load()), steady);
+      run.doubtPace();
+    }
     track(worker, run);
     return run;
   }
--- a/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -28,7 +28,7 @@
 
   private final Map<TaskId, Integer> running = new HashMap<>();
   private final List<Order> sent = new ArrayList<>();
-  private final JobScheduler scheduler = scheduler(1);
+  private JobScheduler scheduler = scheduler(1);
   private long now = 1_000_000;
   private int fillerLoad = FILLER_CPU;
 
@@ -211,6 +211,21 @@
     assertEquals(Set.of(0), percents(again), () -> "ordered: " + again);
   }
 
+  /** A filler that the former owner paused stood still for good. */
+  @Test
+  void aFillerOfAFormerOwnerIsGivenItsPaceAnew() {
+    fill();
+    scheduler = scheduler(2);
+    sent.clear();
+    scheduler.load(List.of(SERVING, FILLING), now, now);
+    scheduler.listed(listing());
+    fillerLoad = 0;
+    run(50);
+    List<Order.Pace> paces = report(GOOD_TAIL_MILLIS);
+    assertEquals(3, paces.size());
+    assertEquals(Set.of(100), percents(paces));
+  }
+
   /** An order to pace answered as outdated by the term was taken for one that was carried out. */
   @Test
   void anOrderToPauseThatIsFencedTellsOfAnotherOwner() {
