Learn nothing from a report that got no answer

An order to report that got no answer made the guard look at the worker all the same: the figures of the report before were learned from once more, and fillers were slowed again for a tail that they had been slowed for. The test fails first.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -203,7 +203,9 @@
       case Order.Stop stop -> runs.stopEnded(stop.worker(), stop.run(), result, steady);
       case Order.Hold hold -> {
         workers.holdEnded(hold, result, steady, wall, ready);
-        ready.addAll(guard.guard(hold.worker(), steady));
+        if (result instanceof OrderResult.Reported) {
+          ready.addAll(guard.guard(hold.worker(), steady));
+        }
       }
       case Order.Pace pace -> paceEnded(pace, result);
       case Order.StopStray stray -> {
--- a/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PaceOrderTest.java
@@ -233,4 +233,17 @@
     answer(pauseAll(), new OrderResult.Rejected(Rejection.FENCED));
     assertTrue(scheduler.isFenced());
   }
+
+  /** A report that got lost was learned from as if the one before it had come again. */
+  @Test
+  void noPaceIsOrderedAfterAReportThatGotNoAnswer() {
+    fill();
+    accept(report(BAD_TAIL_MILLIS));
+    run(1_000);
+    for (Order.Hold hold : take(Order.Hold.class)) {
+      scheduler.ended(hold, new OrderResult.Unanswered("lost"), now, now);
+    }
+    run(50);
+    assertEquals(List.of(), take(Order.Pace.class));
+  }
 }
