--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 
@@ -28,9 +29,24 @@
   /** How long a filler stays at the lowest pace before it is moved, in milliseconds. */
   private static final long CROWDED_MILLIS = 1_500;
 
+  /**
+   * How long a serving task may be over its target before all that fills beside it pauses, in
+   * milliseconds. With the reports before and after, well within the time that counts as harm.
+   */
+  private static final long OVER_MILLIS = 1_000;
+
+  /**
+   * Time from an order until a report shows nothing of the pace before, in milliseconds; the span
+   * of a report and as much for the order to take effect.
+   */
+  private static final long SETTLED_MILLIS = 2 * FillPressure.REPORT_SPAN_MILLIS;
+
   private final FillPressure pressure;
   private final RunTracker runs;
 
+  /** When serving tasks were first reported over their targets; weak, since runs end elsewhere. */
+  private final Map<Run, Long> overSince = new WeakHashMap<>();
+
   FillGuard(FillPressure pressure, RunTracker runs) {
     this.pressure = pressure;
     this.runs = runs;
@@ -47,18 +63,32 @@
     for (Map.Entry<Run, Double> filler : shares.entrySet()) {
       Run run = filler.getKey();
       int pace = (int) Math.round(filler.getValue() * FULL_PERCENT) / PACE_STEP * PACE_STEP;
-      if (pace != run.pacePercent()) {
-        run.pace(pace, steady);
-        orders.add(new Order.Pace(worker, run, pace));
-      } else if (pace < PACE_STEP
+      if (pace == run.pacePercent()
+          && pace < PACE_STEP
           && run.task().step().spec().checkpointing()
           && steady - run.paceSinceMillis() > CROWDED_MILLIS) {
         runs.stop(run, "it would slow tasks that serve users", steady);
+      } else if (pace != run.pacePercent() || run.isPaceInDoubt() || isTooFast(run, steady)) {
+        run.pace(pace, steady);
+        orders.add(new Order.Pace(worker, run, pace));
       }
     }
     return orders;
   }
 
+  /**
+   * Tells whether a run uses more than its pace allows, as after an older order carried out late.
+   */
+  private static boolean isTooFast(Run run, long steady) {
+    return steady - run.paceSinceMillis() > SETTLED_MILLIS
+        && paceShownBy(run.task().step().spec(), run.load()) > run.pacePercent() + PACE_STEP;
+  }
+
+  /** Returns the pace in percent at which a filling task would use so much of the processors. */
+  static int paceShownBy(StepSpec filling, int cpuMillis) {
+    return (int) Math.min(FULL_PERCENT, 100L * cpuMillis / Math.max(1, filling.cpuMillis()));
+  }
+
   /**
    * Returns the part of its full speed that each running filler of a worker may work at, in the
    * order of the worker's runs: a run has an identity hash, and an order by that would let chance
@@ -80,10 +110,23 @@
     return shares;
   }
 
+  private boolean isOverForLong(Run serving, boolean over, long steady) {
+    if (!over) {
+      overSince.remove(serving);
+      return false;
+    }
+    return steady - overSince.computeIfAbsent(serving, key -> steady) >= OVER_MILLIS;
+  }
+
   /** Lowers the shares of the fillers that press hardest until a serving task is in its target. */
   private void restrain(Run serving, Worker worker, Map<Run, Double> shares, long steady) {
     StepSpec spec = serving.task().step().spec();
     boolean over = serving.load() > spec.tailTargetMillis();
+    if (isOverForLong(serving, over, steady)) {
+      // A queue near its limit shows a tail, not by how much it is overloaded.
+      shares.replaceAll((run, share) -> 0.0);
+      return;
+    }
     double limit = pressure.limit(spec) * (1 - HEADROOM);
     double expected = pressure.ownUtilization(serving.task().step()) - limit;
     double measured = pressure.shownUtilization(serving) - limit;
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -130,6 +130,16 @@
     }
   }
 
+  /** Takes the answer to the order to let a run work at a share of its speed. */
+  void paceEnded(Run run, OrderResult result) {
+    if (result instanceof OrderResult.Accepted) {
+      return;
+    }
+    fenced |=
+        result instanceof OrderResult.Rejected rejected && rejected.reason() == Rejection.FENCED;
+    run.doubtPace();
+  }
+
   /** Marks a run as one to stop. */
   void stop(Run run, String why, long steady) {
     if (run.state() == Run.State.STOPPING) {
@@ -195,6 +205,10 @@
 
   private static Run adopt(Worker worker, Task task, WorkerReport.RunningTask row, long steady) {
     Run run = new Run(task, row.attempt(), worker.id(), Run.State.RUNNING, steady);
+    if (task.step().spec().filling()) {
+      run.pace(FillGuard.paceShownBy(task.step().spec(), row.load()), steady);
+      run.doubtPace();
+    }
     track(worker, run);
     return run;
   }
