Prefer other workers to one that refused its latest start

What callers saw: a stopped lasting task had no run for 9,400 ms, until the workers that rejected its starts were well again, though half of the pool took starts and had room for it twice over (PoolWorld, 40 workers, 20 unhealthy).

Cause: a worker that rejects a start as unhealthy gets none for one second. The choice goes by room, and where the unhealthy workers are emptier, the task tries one after the other; each try takes some 70 ms, so that the first is allowed again before the last was tried.

Evidence: the history shows RUN_ORDERED on w20 to w34 in turn, each with ORDER_REJECTED UNHEALTHY, and w20 again after 1,020 ms.

Why the fix works: a worker that refused its latest start counts as suspect, like one that failed its latest run, until it accepts one. Workers that are not suspect go first, so that each unhealthy worker is tried once.

aTaskPassesWorkersThatRejectStarts failed before and passes now; JobSchedulerTest, UnansweredStartTest, PoolRefusal*, UrgentLoadTest and FillingLoadTest pass.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunHistory.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunHistory.java
@@ -16,6 +16,7 @@
 
   private int failuresInRow;
   private long quarantineMillis = FIRST_QUARANTINE_MILLIS;
+  private boolean refusesStarts;
 
   /** Counts a success. */
   void succeeded() {
@@ -34,8 +35,13 @@
     return pause;
   }
 
-  /** Tells whether the latest run failed. */
+  /** Notes whether the worker did nothing about the latest start since it is unhealthy. */
+  void refusedStart(boolean refused) {
+    refusesStarts = refused;
+  }
+
+  /** Tells whether the latest run failed, or the latest start was refused. */
   boolean isSuspect() {
-    return failuresInRow > 0;
+    return failuresInRow > 0 || refusesStarts;
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -63,6 +63,7 @@
     switch (result) {
       case OrderResult.Accepted accepted -> {
         worker.sampleClock(accepted.clockMillis(), steady);
+        worker.history().refusedStart(false);
         if (run.state() == Run.State.STARTING) {
           run.become(Run.State.RUNNING, steady);
         }
@@ -93,7 +94,8 @@
         return;
       }
       case NO_ROOM -> worker.block(steady + NO_ROOM_PAUSE_MILLIS);
-      case UNHEALTHY, MALFORMED -> worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
+      case UNHEALTHY -> avoid(worker, steady);
+      case MALFORMED -> worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
       case OTHER_INCARNATION, LATE, NO_TICKET -> worker.holdSoon(steady);
     }
     if (run.state() == Run.State.RUNNING) {
@@ -108,6 +110,12 @@
     run.task().waitUntil(steady + RETRY_MILLIS);
   }
 
+  /** Prefers others to a worker that does nothing about starts, also once it is asked again. */
+  private static void avoid(Worker worker, long steady) {
+    worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
+    worker.history().refusedStart(true);
+  }
+
   /** Takes the answer to the order to stop a run. */
   void stopEnded(Worker worker, Run run, OrderResult result, long steady) {
     switch (result) {
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -20,7 +20,7 @@
    */
   private static final int FAR_RACK_PENALTY = 1_000_000;
 
-  /** Penalty for a worker whose latest run failed; larger than any difference in room. */
+  /** Penalty for a worker that failed or refused its latest; larger than any difference in room. */
   private static final int SUSPECT_PENALTY = 500_000;
 
   /** Cost of a whole utilization that a filling task takes from serving ones; a large worker's. */
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -400,6 +400,22 @@
     assertNoneStranded();
   }
 
+  /** Many workers that reject starts and have most room are tried over and over. */
+  @Test
+  void aTaskPassesWorkersThatRejectStarts() {
+    begin(SEED, 40);
+    submitLasting(20);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    world.workers.stream()
+        .filter(worker -> worker != leaving)
+        .filter(worker -> count(worker) == 0)
+        .forEach(worker -> worker.unhealthyUntil = world.now + 10_000);
+    leaving.draining = true;
+    run(12_000);
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
