Take a task away from a worker that reports and answers no start

What callers saw: a stopped lasting task had no run for 29,380 ms, the whole rest of the play, though the pool had room for it twice over (PoolWorld, 6 workers, one of which answers reports and no start).

Cause: an unanswered start is repeated with the same attempt until it is answered, the worker is silent, drains or restarts. Each copy renews the lease, so that the run is never too late to start either.

Evidence: the task's last RUN_ORDERED is on the mute worker, followed by nothing but ORDER_UNANSWERED for its start.

Why the fix works: after two copies without an answer, on a worker whose latest report came, the run is stopped as where a copy is rejected: the stop keeps the worker from all copies, and a later report without the run, or its lease where stops get no answer either, lets the task start elsewhere. A run that a report has named is no longer starting and goes on. The worker counts as one that refused its latest start.

aTaskLeavesAWorkerThatCarriesOutNoStarts failed before and passes now; JobScheduler*, UnansweredStartTest, Pool* and FormerOwnerTest pass.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -27,6 +27,12 @@
   /** Pause before a task is tried again after a worker did nothing, in milliseconds. */
   private static final long RETRY_MILLIS = 20;
 
+  /**
+   * Copies of a start without an answer after which its task goes elsewhere; two calls with their
+   * pause take less than half of the time for which a lasting task may wait.
+   */
+  private static final int MOST_UNANSWERED_STARTS = 2;
+
   /** How long a worker without the room that was expected gets no runs, in milliseconds. */
   private static final long NO_ROOM_PAUSE_MILLIS = 300;
 
@@ -69,8 +75,14 @@
         }
       }
       case OrderResult.Rejected rejected -> startRejected(worker, run, rejected.reason(), steady);
-      case OrderResult.Unanswered unanswered ->
-          note(Decision.ORDER_UNANSWERED, run, "order", "start", "cause", unanswered.cause());
+      case OrderResult.Unanswered unanswered -> {
+        note(Decision.ORDER_UNANSWERED, run, "order", "start", "cause", unanswered.cause());
+        boolean mute = run.unansweredStarts() >= MOST_UNANSWERED_STARTS && !worker.isSilent();
+        if (mute && run.state() == Run.State.STARTING) {
+          avoid(worker, steady);
+          stop(run, "the worker reports and answers no start", steady);
+        }
+      }
       case OrderResult.Reported reported ->
           throw new IllegalArgumentException("a start is no report");
     }
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -416,6 +416,35 @@
     assertNoneStranded();
   }
 
+  /** A start without answers is repeated for good on a worker that goes on to report. */
+  @Test
+  void aTaskLeavesAWorkerThatCarriesOutNoStarts() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    List<SimulatedWorker> mute = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start && world.now > 1_003_000) {
+            SimulatedWorker worker =
+                world.workers.stream()
+                    .filter(w -> w.id.equals(order.worker().id()))
+                    .findFirst()
+                    .orElseThrow();
+            if (mute.isEmpty()) {
+              mute.add(worker);
+            }
+            return mute.contains(worker) ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
+          }
+          return PoolWorld.Fate.prompt();
+        };
+    leaving.draining = true;
+    run(30_000);
+    assertFalse(mute.isEmpty());
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
