Start a lasting task again beside an unseen worker once its only run is known

What callers saw: four seconds after a takeover a lasting task was stopped on a worker that drained, and had no run for 4,450 ms though the pool had room for it twice over (PoolWorld, one other worker silent since before the takeover).

Cause: every task that was loaded from the store waits while any worker of the former owner has neither reported nor lost its leases, also one whose run this owner has seen at work and has stopped itself.

Why the fix works: a former owner starts a task again only once it takes its run for over. A report that was asked for after the last time at which a former owner gives orders, and that names the run as at work, shows that nothing else of the task can be under way or follow. Other tasks go on waiting: failures on the unseen worker count for them.

--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -140,6 +140,11 @@
     inherited = true;
   }
 
+  /** Notes that no former owner can have a run of this task other than those that are known. */
+  public void settle() {
+    inherited = false;
+  }
+
   boolean markDone() {
     boolean first = !done;
     done = true;
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -235,6 +235,19 @@
     }
   }
 
+  /**
+   * Notes of the lasting tasks that a report shows at work that nothing else of them is under way.
+   * Others may have failed elsewhere, and those failures count.
+   */
+  void settle(Worker worker, WorkerReport report) {
+    for (WorkerReport.RunningTask row : report.running()) {
+      worker
+          .run(row.task(), row.attempt())
+          .filter(run -> run.task().step().spec().lasting())
+          .ifPresent(run -> run.task().settle());
+    }
+  }
+
   private void ended(Worker worker, WorkerReport.EndedTask end, long steady, long wall) {
     log.record(
         Decision.RUN_ENDED,
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -36,6 +36,7 @@
   private final PoolTiming timing;
   private final RunTracker runs;
   private final DecisionLog log;
+  private long formerOrdersOverMillis = Long.MAX_VALUE;
 
   WorkerTable(PoolTiming timing, RunTracker runs, DecisionLog log) {
     this.timing = timing;
@@ -57,7 +58,8 @@
     worker.bornAt(Long.parseLong(record.incarnation()));
     worker.register(worker.bornMillis());
     worker.noted(record.notedUpTo());
-    worker.leaseMayLastUntil(steady + timing.formerOwnerMillis() + timing.longestLeaseMillis());
+    formerOrdersOverMillis = steady + timing.formerOwnerMillis();
+    worker.leaseMayLastUntil(formerOrdersOverMillis + timing.longestLeaseMillis());
     workers.put(worker.id(), worker);
   }
 
@@ -238,6 +240,10 @@
     }
     long seenBefore = worker.seenUpTo();
     runs.reported(worker, report, order.sentAtMillis(), steady, wall, orders);
+    if (order.sentAtMillis() > formerOrdersOverMillis) {
+      // A former owner starts a task again only once it takes its run for over.
+      runs.settle(worker, report);
+    }
     if (worker.seenUpTo() > seenBefore) {
       worker.retire(false);
       unstored.add(worker);
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -445,6 +445,26 @@
     assertNoneStranded();
   }
 
+  /** A task whose only run a new owner has stopped waits for a worker that does not report. */
+  @Test
+  void aTaskThatANewOwnerStoppedGoesOnBesideAWorkerThatIsSilent() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    SimulatedWorker silent =
+        world.workers.stream().filter(worker -> worker != leaving).findFirst().orElseThrow();
+    watched.removeIf(silent::runs);
+    silent.cut = true;
+    run(200);
+    world.replaceOwner();
+    run(4_000);
+    assertTrue(count(leaving) > 0);
+    leaving.draining = true;
+    run(20_000);
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
