List two causes that keep lasting tasks waiting and are not mended

A new owner waits for the longest lease of a silent worker from its own beginning, 8,500 ms beyond the lease's end where three owners follow each other; the store would have to hold until when leases last. A start without an answer to a worker's former life is given up only once its stop is answered: no run in 40 s where the worker answers reports alone.

--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -465,6 +465,49 @@
     assertNoneStranded();
   }
 
+  /** A start that is left open to a former life waits for an answer to its stop for good. */
+  @Test
+  @Tag("known-red")
+  void aTaskGoesOnWhereItsWorkerRestartedInPlaceAndAnswersNoStops() {
+    begin(SEED, 3);
+    List<SimulatedWorker> chosen = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start && chosen.isEmpty()) {
+            chosen.add(
+                world.workers.stream()
+                    .filter(w -> w.id.equals(order.worker().id()))
+                    .findFirst()
+                    .orElseThrow());
+            return PoolWorld.Fate.late(NEVER);
+          }
+          return order instanceof Order.Stop ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
+        };
+    submitLasting(1);
+    run(100);
+    chosen.get(0).crash(world.now);
+    chosen.get(0).restart(world.now);
+    run(40_000);
+    assertNoneStranded();
+  }
+
+  /** Each new owner waits for the leases of a silent worker from its own beginning. */
+  @Test
+  @Tag("known-red")
+  void aTaskGoesOnWhereOwnersAreReplacedWhileItsWorkerIsSilent() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker crashed = busiest();
+    crashed.crash(world.now);
+    for (int i = 0; i < 3; i++) {
+      run(2_000);
+      world.replaceOwner();
+    }
+    run(20_000);
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
