--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -27,6 +27,12 @@
   /** Pause before a task is tried again after a worker did nothing, in milliseconds. */
   private static final long RETRY_MILLIS = 20;
 
+  /**
+   * Copies of a start without an answer after which its task goes elsewhere; two calls with their
+   * pause take less than half of the time for which a lasting task may wait.
+   */
+  private static final int MOST_UNANSWERED_STARTS = 2;
+
   /** How long a worker without the room that was expected gets no runs, in milliseconds. */
   private static final long NO_ROOM_PAUSE_MILLIS = 300;
 
@@ -63,13 +69,20 @@
     switch (result) {
       case OrderResult.Accepted accepted -> {
         worker.sampleClock(accepted.clockMillis(), steady);
+        worker.history().refusedStart(false);
         if (run.state() == Run.State.STARTING) {
           run.become(Run.State.RUNNING, steady);
         }
       }
       case OrderResult.Rejected rejected -> startRejected(worker, run, rejected.reason(), steady);
-      case OrderResult.Unanswered unanswered ->
-          note(Decision.ORDER_UNANSWERED, run, "order", "start", "cause", unanswered.cause());
+      case OrderResult.Unanswered unanswered -> {
+        note(Decision.ORDER_UNANSWERED, run, "order", "start", "cause", unanswered.cause());
+        boolean mute = run.unansweredStarts() >= MOST_UNANSWERED_STARTS && !worker.isSilent();
+        if (mute && run.state() == Run.State.STARTING) {
+          avoid(worker, steady);
+          stop(run, "the worker reports and answers no start", steady);
+        }
+      }
       case OrderResult.Reported reported ->
           throw new IllegalArgumentException("a start is no report");
     }
@@ -93,7 +106,8 @@
         return;
       }
       case NO_ROOM -> worker.block(steady + NO_ROOM_PAUSE_MILLIS);
-      case UNHEALTHY, MALFORMED -> worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
+      case UNHEALTHY -> avoid(worker, steady);
+      case MALFORMED -> worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
       case OTHER_INCARNATION, LATE, NO_TICKET -> worker.holdSoon(steady);
     }
     if (run.state() == Run.State.RUNNING) {
@@ -108,6 +122,12 @@
     run.task().waitUntil(steady + RETRY_MILLIS);
   }
 
+  /** Prefers others to a worker that does nothing about starts, also once it is asked again. */
+  private static void avoid(Worker worker, long steady) {
+    worker.block(steady + UNHEALTHY_PAUSE_MILLIS);
+    worker.history().refusedStart(true);
+  }
+
   /** Takes the answer to the order to stop a run. */
   void stopEnded(Worker worker, Run run, OrderResult result, long steady) {
     switch (result) {
@@ -229,6 +249,19 @@
     }
   }
 
+  /**
+   * Notes of the lasting tasks that a report shows at work that nothing else of them is under way.
+   * Others may have failed elsewhere, and those failures count.
+   */
+  void settle(Worker worker, WorkerReport report) {
+    for (WorkerReport.RunningTask row : report.running()) {
+      worker
+          .run(row.task(), row.attempt())
+          .filter(run -> run.task().step().spec().lasting())
+          .ifPresent(run -> run.task().settle());
+    }
+  }
+
   private void ended(Worker worker, WorkerReport.EndedTask end, long steady, long wall) {
     log.record(
         Decision.RUN_ENDED,
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -399,6 +399,114 @@
     assertNoneStranded();
   }
 
+  /** Many workers that reject starts and have most room are tried over and over. */
+  @Test
+  void aTaskPassesWorkersThatRejectStarts() {
+    begin(SEED, 40);
+    submitLasting(20);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    world.workers.stream()
+        .filter(worker -> worker != leaving)
+        .filter(worker -> count(worker) == 0)
+        .forEach(worker -> worker.unhealthyUntil = world.now + 10_000);
+    leaving.draining = true;
+    run(12_000);
+    assertNoneStranded();
+  }
+
+  /** A start without answers is repeated for good on a worker that goes on to report. */
+  @Test
+  void aTaskLeavesAWorkerThatCarriesOutNoStarts() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    List<SimulatedWorker> mute = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start && world.now > 1_003_000) {
+            SimulatedWorker worker =
+                world.workers.stream()
+                    .filter(w -> w.id.equals(order.worker().id()))
+                    .findFirst()
+                    .orElseThrow();
+            if (mute.isEmpty()) {
+              mute.add(worker);
+            }
+            return mute.contains(worker) ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
+          }
+          return PoolWorld.Fate.prompt();
+        };
+    leaving.draining = true;
+    run(30_000);
+    assertFalse(mute.isEmpty());
+    assertNoneStranded();
+  }
+
+  /** A task whose only run a new owner has stopped waits for a worker that does not report. */
+  @Test
+  void aTaskThatANewOwnerStoppedGoesOnBesideAWorkerThatIsSilent() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker leaving = busiest();
+    SimulatedWorker silent =
+        world.workers.stream().filter(worker -> worker != leaving).findFirst().orElseThrow();
+    watched.removeIf(silent::runs);
+    silent.cut = true;
+    run(200);
+    world.replaceOwner();
+    run(4_000);
+    assertTrue(count(leaving) > 0);
+    leaving.draining = true;
+    run(20_000);
+    assertNoneStranded();
+  }
+
+  /** A start that is left open to a former life waits for an answer to its stop for good. */
+  @Test
+  @Tag("known-red")
+  void aTaskGoesOnWhereItsWorkerRestartedInPlaceAndAnswersNoStops() {
+    begin(SEED, 3);
+    List<SimulatedWorker> chosen = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start && chosen.isEmpty()) {
+            chosen.add(
+                world.workers.stream()
+                    .filter(w -> w.id.equals(order.worker().id()))
+                    .findFirst()
+                    .orElseThrow());
+            return PoolWorld.Fate.late(NEVER);
+          }
+          return order instanceof Order.Stop ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
+        };
+    submitLasting(1);
+    run(100);
+    chosen.get(0).crash(world.now);
+    chosen.get(0).restart(world.now);
+    run(40_000);
+    assertNoneStranded();
+  }
+
+  /** Each new owner waits for the leases of a silent worker from its own beginning. */
+  @Test
+  @Tag("known-red")
+  void aTaskGoesOnWhereOwnersAreReplacedWhileItsWorkerIsSilent() {
+    begin(SEED, 6);
+    submitLasting(10);
+    run(2_000);
+    SimulatedWorker crashed = busiest();
+    crashed.crash(world.now);
+    for (int i = 0; i < 3; i++) {
+      run(2_000);
+      world.replaceOwner();
+    }
+    run(20_000);
+    assertNoneStranded();
+  }
+
   private void replaceInTurn(int waves, int everyOwner) {
     Map<Long, List<SimulatedWorker>> leaves = new HashMap<>();
     for (int i = 0; i < waves + 4; i++) {
