An entry whose claim got no answer owns the jobs once the log shows it

Callers waited longer for an owner where the answer to the append of a claim was lost: the entry found its own claim in the log, took it for another process's, followed itself, and claimed once more, with the next term, after another election.

Cause: OwnerTerms.claim knew of a claim only through the answer to its append. The claim in the log that is newer than the one to be replaced counted as another's whatever it named.

OwnerTerms now remembers the claim that it appended last until something begins under it. That is the state at the claim: the claim was appended at the very end that had been read, and the former owner's appends name an offset that the claim has taken.

Nothing else is taken for an own claim: - another's claim of the same or a later term: term and incarnation differ; - a claim of a former life of the process: what was appended is known in memory only, so that a later life knows of none, and the name in the log is not enough; - a claim of this process that something has begun under: it is forgotten there, so that orders of one term come from one scheduler; - a copy that arrives late: it names its offset, so it either takes effect before the next append there, which then finds the end moved and the claim in the log, or never. Whether the claim before it was of a process that had ended is kept with the claim, so that leases are waited for as after an answered one.

--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerTerms.java
@@ -25,7 +25,8 @@
 
 /**
  * Claims the jobs in the log, and keeps what runs under a claim. The claim is appended at the very
- * end that was read, so that the state read before it is the state at the claim.
+ * end that was read, so that the state read before it is the state at the claim. Each claim is
+ * begun once at most, by the process that appended it.
  */
 final class OwnerTerms {
   /** Tries of one claim against the appends of an owner that still writes. */
@@ -40,6 +41,7 @@
   private final long retentionMillis;
   private final DecisionLog decisions;
   private volatile Optional<JobOwner> current = Optional.empty();
+  private Optional<OpenClaim> openClaim = Optional.empty();
   private volatile boolean closing;
   private Duty listings;
 
@@ -61,6 +63,19 @@
     return current;
   }
 
+  /**
+   * The claim that this process appended last, until something begins under it. Only the log tells
+   * whether it is stored where the answer was lost.
+   *
+   * @param record the claim
+   * @param formerGone whether the process of the claim before it had certainly ended
+   */
+  private record OpenClaim(OwnerRecord record, boolean formerGone) {
+    boolean is(OwnerView found) {
+      return record.term() == found.term() && record.entry().equals(found.entry());
+    }
+  }
+
   /** What came of a claim. */
   sealed interface Claim {
     /** The jobs are owned by this entry. */
@@ -75,7 +90,7 @@
 
   /**
    * Claims the jobs from the owner of a term; a newer claim in the log stays, unless the process
-   * that made it has ended too.
+   * that made it has ended too, or this one made it and got no answer.
    *
    * @param entry incarnation of this entry
    * @param peerAddress host and port of this entry's peer link
@@ -98,6 +113,15 @@
         return new Claim.Failed();
       }
       OwnerView found = ownerIn(state);
+      Optional<OpenClaim> own =
+          openClaim.filter(open -> open.is(found) && found.term() >= replacedTerm);
+      if (own.isPresent()) {
+        if (isAtEnd(cache)) {
+          return new Claim.Won(
+              begin(found.term(), own.get().formerGone(), state, cache.next(), peersAgree));
+        }
+        continue;
+      }
       if (found.term() > replacedTerm && !isGone.test(found.entry())) {
         EventLog.info(
             LogEvent.OWNER_CLAIM_FAILED,
@@ -111,14 +135,15 @@
       }
       long term = found.term() + 1;
       OwnerRecord claim = new OwnerRecord(term, entry, peerAddress);
+      boolean formerGone = hasNoFormer(found, isGone);
+      openClaim = Optional.of(new OpenClaim(claim, formerGone));
       KeyedRecord record =
           new KeyedRecord(StoredChange.OWNER_KEY, Optional.of(StoredCodec.encode(claim)));
       KeyedLog.Append result =
           KeyedCache.await(
               log.append(LogTopic.JOBS, OptionalLong.of(cache.next()), List.of(record)));
       if (result instanceof KeyedLog.Append.Stored stored) {
-        return new Claim.Won(
-            begin(term, hasNoFormer(found, isGone), state, stored.end(), peersAgree));
+        return new Claim.Won(begin(term, formerGone, state, stored.end(), peersAgree));
       }
       if (!(result instanceof KeyedLog.Append.EndMoved)) {
         EventLog.warn(LogEvent.OWNER_CLAIM_FAILED, "term", term, "cause", result);
@@ -131,6 +156,14 @@
     return found.entry().isEmpty() || isGone.test(found.entry());
   }
 
+  /** Tells whether nothing was appended behind what was read, so that its newest claim holds. */
+  private boolean isAtEnd(KeyedCache cache) throws InterruptedException {
+    return KeyedCache.await(log.read(LogTopic.JOBS, cache.next(), 0))
+            instanceof KeyedLog.Read.Records behind
+        && behind.records().isEmpty()
+        && behind.end() <= cache.next();
+  }
+
   private static boolean readOn(KeyedCache cache, Map<String, byte[]> state)
       throws InterruptedException {
     switch (cache.poll(0)) {
@@ -180,6 +213,7 @@
       Map<String, byte[]> state,
       long end,
       BooleanSupplier peersAgree) {
+    openClaim = Optional.empty();
     PoolTiming inherited = formerGone ? timing.afterKnownEnd() : timing;
     JobScheduler scheduler = new JobScheduler(term, inherited, retentionMillis, decisions);
     JobOwner owner = new JobOwner(term, scheduler, log, end, orders, peersAgree);
--- a/entry/src/test/java/org/lavenderstage/entry/job/ClaimWithoutAnswerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/ClaimWithoutAnswerTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.pool.OrderResult;
 import org.lavenderstage.core.pool.PoolTiming;
@@ -12,7 +11,6 @@
 class ClaimWithoutAnswerTest {
   /** The entry finds its own claim in the log and takes it for that of another process. */
   @Test
-  @Tag("known-red")
   void anEntryThatFindsItsOwnClaimInTheLogHasWon() throws Exception {
     MemoryLog log = new MemoryLog();
     OwnerTerms terms =
