Drop the record of a worker that is gone before its record is stored

What callers would see: a new owner starts nothing inherited until the longest lease of a worker is over that is long gone and ran nothing.

Cause: WorkerTable.forget dropped the record only of a worker whose record was known to be stored. Where the append was under way when the worker left the list and fell silent, the record was stored afterwards and stayed. A worker whose record was dropped while it drained and that is stored anew, for another end or since it drains no more, can take the same way.

Evidence: a worker that crashes 100 ms after it joined while an append takes 3 s is still stored 15 s later.

Why the fix works: a worker remembers that its record was sent, and forget drops it from then on; batches are stored in order, so that the drop comes after the record.

WorkerRecordTest.noRecordIsLeftOfAWorkerThatIsGoneBeforeItsRecordIsStored failed before and passes now. The other test of the class, a listing that goes to and fro, is a guard, not a regression: it was run with the fix only.

--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -33,6 +33,7 @@
   private int servingCount;
   private long bornMillis;
   private boolean registered;
+  private boolean recordMayBeStored;
   private boolean retired;
   private long storedBornMillis;
   private boolean greeted;
@@ -118,9 +119,20 @@
   /** Notes that a record of the worker is stored, with the beginning of the life it names. */
   void register(long born) {
     registered = true;
+    recordMayBeStored = true;
     storedBornMillis = born;
   }
 
+  /** Notes that a record of the worker is on its way to the store. */
+  void recordSent() {
+    recordMayBeStored = true;
+  }
+
+  /** Tells whether a record of the worker is stored or may yet be. */
+  boolean mayHaveRecord() {
+    return recordMayBeStored;
+  }
+
   /** Tells whether the worker's record was dropped since it leaves and is empty. */
   boolean isRetired() {
     return retired;
@@ -131,6 +143,7 @@
     retired = dropped;
     if (dropped) {
       registered = false;
+      recordMayBeStored = false;
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -137,7 +137,7 @@
 
   private void forget(Worker worker) {
     unstored.remove(worker);
-    if (worker.isRegistered()) {
+    if (worker.mayHaveRecord()) {
       removals.add(StoredChange.dropWorker(worker.id()));
     }
   }
@@ -282,6 +282,7 @@
     changes.addAll(removals);
     List<JournalBatch.NotedEnds> noted = new ArrayList<>(unstored.size());
     for (Worker worker : unstored) {
+      worker.recordSent();
       changes.add(
           StoredChange.put(
               new WorkerRecord(
--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/WorkerRecordTest.java
@@ -0,0 +1,53 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The records of workers in the store, which a later owner waits for. */
+class WorkerRecordTest {
+  private static final long SEED = 5;
+  private static final long APPEND_MILLIS = 3_000;
+
+  /** The record of a worker that is gone before it was stored makes a later owner wait. */
+  @Test
+  void noRecordIsLeftOfAWorkerThatIsGoneBeforeItsRecordIsStored() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.listingsToldOnce = true;
+    world.run(1_000);
+    world.appendMillis = APPEND_MILLIS;
+    SimulatedWorker brief = new SimulatedWorker(2, world.now, world.oracle);
+    world.workers.add(brief);
+    world.run(100);
+    brief.crash(world.now);
+    world.run(15_000);
+    assertFalse(
+        world.store.containsKey("worker/" + brief.id), () -> String.join("\n", world.history));
+  }
+
+  /** A listing that goes to and fro while appends are under way leaves a worker with its record. */
+  @Test
+  void aWorkerThatRunsSomethingHasARecordHoweverItsListingChanged() {
+    for (int gap = 10; gap < 1_500; gap += 70) {
+      PoolWorld world = new PoolWorld(SEED, 2);
+      world.run(1_000);
+      world.appendMillis = 300;
+      SimulatedWorker worker = world.workers.get(0);
+      for (int i = 0; i < 6; i++) {
+        worker.draining = i % 2 == 0;
+        world.run(gap);
+      }
+      world.submit(List.of(PoolWorld.lasting(8, 2_000)), 0);
+      for (int i = 0; i < 200; i++) {
+        world.run(10);
+        boolean idle = worker.shares().isEmpty();
+        assertTrue(idle || world.store.containsKey("worker/" + worker.id), "gap " + gap);
+      }
+      assertFalse(worker.shares().isEmpty(), "takes runs again after a gap of " + gap);
+      assertEquals(List.of(), world.oracle.broken, world::explanation);
+    }
+  }
+}
