--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -144,7 +144,7 @@
 
   private void forget(Worker worker) {
     unstored.remove(worker);
-    if (worker.isRegistered()) {
+    if (worker.mayHaveRecord()) {
       removals.add(StoredChange.dropWorker(worker.id()));
     }
   }
@@ -309,6 +309,7 @@
     changes.addAll(removals);
     List<JournalBatch.NotedEnds> noted = new ArrayList<>(unstored.size());
     for (Worker worker : unstored) {
+      worker.recordSent();
       changes.add(
           StoredChange.put(
               new WorkerRecord(
