--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/pool/EndedFillers.java
@@ -0,0 +1,36 @@
+package org.lavenderstage.core.pool;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.lavenderstage.core.job.Run;
+import org.lavenderstage.core.job.StepSpec;
+
+/** Filling tasks of one worker that have ended, while their use still shows in its reports. */
+final class EndedFillers {
+  private final Deque<EndedFiller> fillers = new ArrayDeque<>();
+
+  /** A filling task that has ended, with the processors that it used last. */
+  private record EndedFiller(String image, int cpuMillis, long endedAtMillis) {}
+
+  /** Notes that a run has ended, whose use of processors still shows in the next report. */
+  void add(Run run, long steadyMillis) {
+    StepSpec spec = run.task().step().spec();
+    if (spec.filling() && run.load() > 0) {
+      fillers.add(new EndedFiller(spec.image(), run.load(), steadyMillis));
+    }
+  }
+
+  /** Returns by image what fillers used in the span of a report made now, and no longer use. */
+  Map<String, Double> usedIn(long steadyMillis) {
+    long span = FillPressure.REPORT_SPAN_MILLIS;
+    fillers.removeIf(filler -> steadyMillis - filler.endedAtMillis >= span);
+    Map<String, Double> used = new HashMap<>();
+    for (EndedFiller filler : fillers) {
+      double part = 1 - (double) (steadyMillis - filler.endedAtMillis) / span;
+      used.merge(filler.image, filler.cpuMillis * part, Double::sum);
+    }
+    return used;
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -1,8 +1,6 @@
 package org.lavenderstage.core.pool;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +47,7 @@
   private int failedHolds;
   private long blockedUntilMillis;
   private final RunHistory history = new RunHistory();
-  private final Deque<EndedFiller> endedFillers = new ArrayDeque<>();
+  private final EndedFillers endedFillers = new EndedFillers();
   private long measuredAtMillis = Long.MIN_VALUE / 2;
 
   Worker(String id, String address) {
@@ -394,27 +392,14 @@
     return listing.map(l -> l.capacity().cpuMillis()).orElse(0);
   }
 
-  /** A filling task that has ended, with the processors that it used last. */
-  private record EndedFiller(String image, int cpuMillis, long endedAtMillis) {}
-
   /** Notes that a run has ended, whose use of processors still shows in the next report. */
   void fillerEnded(Run run, long steadyMillis) {
-    StepSpec spec = run.task().step().spec();
-    if (spec.filling() && run.load() > 0) {
-      endedFillers.add(new EndedFiller(spec.image(), run.load(), steadyMillis));
-    }
+    endedFillers.add(run, steadyMillis);
   }
 
   /** Returns by image what fillers used in the span of a report made now, and no longer use. */
   Map<String, Double> endedFillers(long steadyMillis) {
-    long span = FillPressure.REPORT_SPAN_MILLIS;
-    endedFillers.removeIf(filler -> steadyMillis - filler.endedAtMillis >= span);
-    Map<String, Double> used = new HashMap<>();
-    for (EndedFiller filler : endedFillers) {
-      double part = 1 - (double) (steadyMillis - filler.endedAtMillis) / span;
-      used.merge(filler.image, filler.cpuMillis * part, Double::sum);
-    }
-    return used;
+    return endedFillers.usedIn(steadyMillis);
   }
 
   /** Returns when the tails of this worker were last learned from, in steady milliseconds. */
