--- a/core/src/main/java/org/lavenderstage/core/pool/Decision.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Decision.java
@@ -26,6 +26,8 @@
   RUN_PACED,
   /** A lasting task that has run before waits for a place. */
   TASK_DEFERRED,
+  /** A job has tasks whose turn has come, and none got a place for a while. */
+  JOB_WAITS,
   /** A worker came into the list or changed its listing. */
   WORKER_LISTED,
   /** A worker left the list. */
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/pool/Fit.java
@@ -0,0 +1,17 @@
+package org.lavenderstage.core.pool;
+
+/** Whether a task can be placed on a worker, and else the first reason against it. */
+enum Fit {
+  /** The worker may take the task now. */
+  FITS,
+  /** The worker takes no runs, or is none that the task may run on. */
+  NOT_ALLOWED,
+  /** Other runs reserve the room. */
+  RESERVED,
+  /** The room is kept for a task that needs it more. */
+  KEPT,
+  /** Too few processors are unused, though they are not reserved. */
+  BUSY,
+  /** A task that serves users there would miss its target. */
+  PRESSES
+}
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -36,6 +36,8 @@
   private final int firstAttempt;
   private long sparingUntil = Long.MIN_VALUE;
   private final Deferrals deferrals;
+  private final JobWaits waits;
+  private int turn;
   private final Map<Task, Long> makingRoomUntil = new HashMap<>();
 
   Placement(
@@ -53,6 +55,7 @@
     this.pressure = pressure;
     this.log = log;
     this.deferrals = new Deferrals(log);
+    this.waits = new JobWaits(log);
     this.firstAttempt = Math.toIntExact((term - 1) * ATTEMPTS_PER_TERM) + 1;
   }
 
@@ -60,6 +63,8 @@
   void step(boolean inheritanceOpen, long steady) {
     makingRoomUntil.values().removeIf(until -> until < steady);
     deferrals.beginRound();
+    waits.beginRound();
+    turn = 0;
     boolean sparing = steady < sparingUntil;
     WorkerChoice choice = new WorkerChoice(workers.all(), pressure, sparing, steady);
     Set<Object> refused = new HashSet<>();
@@ -67,6 +72,7 @@
       if (!job.isActive()) {
         continue;
       }
+      turn++;
       for (StepRun step : job.openSteps()) {
         if (!step.isDone() && job.isReady(step)) {
           place(step, choice, refused, inheritanceOpen, steady);
@@ -128,14 +134,17 @@
             spec.image(),
             task.step().job().rules().service());
     if (refused.contains(shape)) {
+      waits.deferred(task, turn, () -> choice.fits(task), steady);
       return false;
     }
     PlaceSearch search = choice.search(task);
     if (search instanceof PlaceSearch.Found found) {
       begin(task, found.worker(), nextAttempt(task), steady);
       choice.placedOn(found.worker());
+      waits.placed(task.step().job());
       return true;
     }
+    waits.deferred(task, turn, () -> choice.fits(task), steady);
     deferrals.deferred(task, search, steady);
     if (spec.maxPerWorker() == 0) {
       refused.add(shape);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -91,7 +92,7 @@
     int places = 0;
     StepSpec spec = task.step().spec();
     for (Worker worker : workers) {
-      if (isAllowed(worker, task) && fits(worker, task)) {
+      if (fit(worker, task) == Fit.FITS) {
         Resources twice = Worker.demand(spec).plus(Worker.demand(spec));
         places += twice.fitsIn(worker.free()) ? 2 : 1;
         long cost = cost(worker, task.step());
@@ -198,15 +199,28 @@
         && task.runs().stream().noneMatch(run -> run.worker().equals(worker.id()));
   }
 
-  private boolean fits(Worker worker, Task task) {
+  /** Counts the workers by whether a task can be placed there, and else what is against it. */
+  Map<Fit, Integer> fits(Task task) {
+    Map<Fit, Integer> counts = new EnumMap<>(Fit.class);
+    workers.forEach(worker -> counts.merge(fit(worker, task), 1, Integer::sum));
+    return counts;
+  }
+
+  private Fit fit(Worker worker, Task task) {
+    if (!isAllowed(worker, task)) {
+      return Fit.NOT_ALLOWED;
+    }
     StepSpec spec = task.step().spec();
-    Resources demand = Worker.demand(spec);
-    if (!demand.fitsIn(worker.free()) || takesKept(worker, task)) {
-      return false;
+    if (!Worker.demand(spec).fitsIn(worker.free())) {
+      return Fit.RESERVED;
+    }
+    if (takesKept(worker, task)) {
+      return Fit.KEPT;
+    }
+    if (spec.filling() && servingState(worker).unusedCpuMillis < spec.cpuMillis() / 2) {
+      return Fit.BUSY;
     }
-    return !spec.filling()
-        || (servingState(worker).unusedCpuMillis >= spec.cpuMillis() / 2
-            && leftFor(spec, worker) >= 0);
+    return spec.filling() && leftFor(spec, worker) < 0 ? Fit.PRESSES : Fit.FITS;
   }
 
   /**
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -124,6 +124,8 @@
   RUN_PACED(7311),
   /** A lasting task that has run before waits for a place. */
   TASK_DEFERRED(7312),
+  /** A job has tasks whose turn has come, and none got a place for a while. */
+  JOB_WAITS(7313),
   /** A worker came into the list or changed its listing. */
   WORKER_LISTED(7401),
   /** A worker left the list. */
