Show that batch jobs whose tasks have many cores are passed over

All jobs are alike but for their images and the processors of their tasks, and five of nine images press.

--- a/core/src/test/java/org/lavenderstage/core/pool/BatchSharesTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/BatchSharesTest.java
@@ -55,6 +55,10 @@
   private static final int PRESSING_IMAGES = 5;
 
   private static final double MEAN_TASK_MILLIS = 1_700;
+
+  /** Spread of the processors of a task in the users' batch queue. */
+  private static final double CORE_SPREAD = 0.3;
+
   private static final double LIGHT_PRESSURE = 0.07;
   private static final double HARD_PRESSURE = 5;
   private static final double NEXT_PRESSURE = 1.5;
@@ -79,10 +83,11 @@
    * What batch jobs are like.
    *
    * @param mostSteps most steps of a job, each with an image of its own
-   * @param spread part of the usual spread of the widths, processors and work of steps
+   * @param spread part of the usual spread of the widths and work of steps
+   * @param coreSpread spread of the processors of tasks, as of a log-normal factor
    * @param estimates what is declared of the work
    */
-  private record Jobs(int mostSteps, double spread, Estimates estimates) {}
+  private record Jobs(int mostSteps, double spread, double coreSpread, Estimates estimates) {}
 
   /**
    * A load of batch jobs.
@@ -119,7 +124,7 @@
   private record Judged(double coreMillis, boolean served) {}
 
   private static Jobs usual(Estimates estimates) {
-    return new Jobs(MOST_STEPS, 1, estimates);
+    return new Jobs(MOST_STEPS, 1, CORE_SPREAD, estimates);
   }
 
   private static StepSpec serving(String image) {
@@ -181,7 +186,7 @@
     for (int i = 0; i < count; i++) {
       double drawn = logNormal(random, 8, 0.6 * jobs.spread);
       int width = (int) Math.max(2, Math.min(32, Math.round(drawn)));
-      double cores = logNormal(random, 3_500, 0.3 * jobs.spread);
+      double cores = logNormal(random, 3_500, jobs.coreSpread);
       int cpu = (int) Math.max(1_500, Math.min(7_000, cores));
       double work = logNormal(random, MEAN_TASK_MILLIS, 0.8 * jobs.spread);
       double millis = Math.max(100, Math.min(8_600, work));
@@ -364,16 +369,29 @@
   @Test
   @Tag("known-red")
   void jobsOfManyImagesAreServedHalfAsOftenAsAllWhereHalfOfTheImagesPress() {
-    Jobs alike = new Jobs(MOST_STEPS, 0, Estimates.EXACT);
+    Jobs alike = new Jobs(MOST_STEPS, 0, 0, Estimates.EXACT);
+    Shares.of(new Load(1.6, alike, PRESSING_IMAGES, 0)).assertLargeJobsGotHalfOfAll();
+  }
+
+  /**
+   * Issue 20: tasks of many cores go last and are kept no place, so that smaller ones take each
+   * piece. All jobs are alike but for their images and the processors of their tasks.
+   */
+  @Test
+  @Tag("known-red")
+  void jobsOfTasksOfManyCoresAreServedHalfAsOftenAsAllWhereHalfOfTheImagesPress() {
+    Jobs alike = new Jobs(1, 0, 2 * CORE_SPREAD, Estimates.EXACT);
     Shares.of(new Load(1.6, alike, PRESSING_IMAGES, 0)).assertLargeJobsGotHalfOfAll();
   }
 
+  /** Issue 20: the usual mix, of which each test above has one part alone. */
   @Test
   void largeJobsAreServedHalfAsOftenAsAllWhereHalfOfTheImagesPressAndSizesSpread() {
     Jobs usual = usual(Estimates.ROUGH);
     Shares.of(new Load(1.6, usual, PRESSING_IMAGES, 0)).assertLargeJobsGotHalfOfAll();
   }
 
+  /** Issue 20: owners that are replaced learn pressures anew, which must not cost large jobs. */
   @Test
   void largeJobsAreServedHalfAsOftenAsAllThoughOwnersAreReplacedThatHadLearnedPressures() {
     Jobs usual = usual(Estimates.ROUGH);
