Give turns to batch jobs of sizes that are passed over, and let them keep them

Cause: batch jobs went by what they gain for each core-second left, those that can still be in time first. Each round decided anew, so a large job lost its turn to every smaller newcomer, and a job that was late by its estimate to all of them; what was spent on it was lost. Now JobTurns divides the lately accepted jobs of a queue by work, and where fewer of a size are served than half of the share of all, the one of it that gains most and can be in time gets a turn, which it keeps until it has ended or earns nothing. What it counts is read from the jobs, so that a new owner finds the same.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
@@ -18,8 +18,8 @@
  * lasting task keeps its place for good. Then come lasting tasks, then the others by priority.
  * Among urgent jobs the one whose objective is nearest goes first, so that large ones are not
  * passed over; among others, where there is more work than room, the one that gains most for each
- * core-second still to be spent. Jobs past their objective earn little, and past three times that
- * nothing; they come last.
+ * core-second still to be spent, unless it is another one's turn ({@link JobTurns}). Jobs past
+ * their objective earn little, and past three times that nothing; they come last.
  */
 final class JobOrder {
   /** Part of a job's worth that does not depend on its size; from the users' rules. */
@@ -38,19 +38,27 @@
   private static final double LEAST_WORK_MILLIS = 100;
 
   private final Map<String, MeanWork> meanWork = new HashMap<>();
+  private final JobTurns turns = new JobTurns();
 
   /** Counts a job in the mean of its queue. */
   void submitted(JobRecord record) {
     meanWork.computeIfAbsent(record.rules().queue(), key -> new MeanWork()).add(work(record));
   }
 
-  /** Returns the jobs, the most needed first. */
-  List<Job> sorted(Collection<Job> jobs, long steadyMillis) {
-    List<Ranked> ranked = new ArrayList<>(jobs.size());
-    for (Job job : jobs) {
+  /** Returns the active jobs, the most needed first. */
+  List<Job> sorted(JobTable jobs, long steadyMillis) {
+    List<Ranked> ranked = new ArrayList<>(jobs.active().size());
+    for (Job job : jobs.active()) {
       ranked.add(rank(job, steadyMillis));
     }
     ranked.sort(Ranked.BY_NEED);
+    List<Job> candidates = ranked.stream().filter(Ranked::mayGetTurn).map(Ranked::job).toList();
+    turns.review(
+        jobs.all(),
+        candidates,
+        job -> steadyMillis - job.receivedAtMillis() <= earningMillis(job.record()),
+        steadyMillis);
+    ranked.sort(Ranked.BY_GROUP.thenComparing(r -> !turns.isTurnOf(r.job())));
     return ranked.stream().map(Ranked::job).toList();
   }
 
@@ -96,7 +104,8 @@
     return Math.min(LARGEST_WORTH, FIXED_WORTH + WORTH_BY_WORK * relative);
   }
 
-  private static double work(JobRecord record) {
+  /** Returns the work of a job by its estimates, in core-milliseconds. */
+  static double work(JobRecord record) {
     double sum = 0;
     for (StepSpec spec : record.steps()) {
       sum += cores(spec) * spec.estimateMillis() * spec.count();
@@ -119,6 +128,11 @@
     return Math.round(record.rules().slackFactor() * longest) + record.rules().targetMillis();
   }
 
+  /** Returns the time from its acceptance within which a job earns anything. */
+  static long earningMillis(JobRecord record) {
+    return WORTHLESS_AFTER * objectiveMillis(record);
+  }
+
   private static long remainingChainMillis(Job job) {
     long longest = 0;
     Map<Integer, long[]> chains = new HashMap<>();
@@ -172,10 +186,16 @@
 
   /** A job with what decides its place; the higher gain goes first. */
   private record Ranked(Job job, Group group, int priority, Lateness lateness, double gain) {
+    static final Comparator<Ranked> BY_GROUP =
+        Comparator.comparing(Ranked::group).thenComparingInt(Ranked::priority);
+
     static final Comparator<Ranked> BY_NEED =
-        Comparator.comparing(Ranked::group)
-            .thenComparingInt(Ranked::priority)
+        BY_GROUP
             .thenComparing(Ranked::lateness)
             .thenComparing(Comparator.comparingDouble(Ranked::gain).reversed());
+
+    boolean mayGetTurn() {
+      return group == Group.OTHER && lateness == Lateness.IN_TIME;
+    }
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
@@ -34,6 +34,11 @@
     return find(id.job()).flatMap(job -> job.startedTask(id));
   }
 
+  /** Returns all jobs that are known, also those that have ended lately. */
+  Collection<Job> all() {
+    return jobs.values();
+  }
+
   Collection<Job> active() {
     return active.values();
   }
--- /dev/null
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTurns.java
@@ -0,0 +1,110 @@
+package org.lavenderstage.core.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.JobRecord;
+
+/**
+ * Gives turns to batch jobs of sizes that are passed over. The order by gain prefers some sizes to
+ * others for as long as there is more work than room. Here the jobs of a queue that came lately are
+ * divided by their work, and where far fewer of one size are served than of all, the one of them
+ * that gains most gets a turn. A job that has its turn goes before the others of its priority until
+ * it has ended or earns nothing any more, so that what is spent on it is not lost to the next one.
+ */
+final class JobTurns {
+  /**
+   * Upper ends of the sizes, as parts of the jobs by work; by the users' rules the largest tenth
+   * and the fifth below it are judged by themselves.
+   */
+  private static final double[] SIZES = {0.2, 0.4, 0.7, 0.9, 1};
+
+  /** Least share of the jobs of a size that are served, against all; from the users' rules. */
+  private static final double LEAST_SHARE = 0.5;
+
+  /** Age up to which jobs are counted, in milliseconds; few earn anything for longer. */
+  private static final long WINDOW_MILLIS = 30_000;
+
+  /** Time between two reviews, in milliseconds; short against the run of a task. */
+  private static final long REVIEW_MILLIS = 250;
+
+  private final Set<Job> turns = new HashSet<>();
+  private long reviewedAtMillis = Long.MIN_VALUE / 2;
+
+  /** Tells whether a job has its turn. */
+  boolean isTurnOf(Job job) {
+    return turns.contains(job);
+  }
+
+  /**
+   * Ends turns that are over, and gives new ones at most four times a second.
+   *
+   * @param known all jobs, also those that have ended lately
+   * @param candidates batch jobs that can still be in time, the one that gains most first
+   * @param earns whether an active job can still earn anything
+   */
+  void review(
+      Collection<Job> known, List<Job> candidates, Predicate<Job> earns, long steadyMillis) {
+    turns.removeIf(job -> job.phase() != JobPhase.ACTIVE || !earns.test(job));
+    if (steadyMillis - reviewedAtMillis < REVIEW_MILLIS) {
+      return;
+    }
+    reviewedAtMillis = steadyMillis;
+    Map<String, List<Job>> byQueue = new HashMap<>();
+    for (Job job : known) {
+      if (steadyMillis - job.receivedAtMillis() <= WINDOW_MILLIS && counts(job)) {
+        byQueue.computeIfAbsent(job.rules().queue(), key -> new ArrayList<>()).add(job);
+      }
+    }
+    byQueue.values().forEach(jobs -> reviewQueue(jobs, candidates));
+  }
+
+  /** Tells whether a job is owed to its caller and has a size. */
+  private static boolean counts(Job job) {
+    boolean owed = job.phase() == JobPhase.ACTIVE || job.phase() == JobPhase.COMPLETED;
+    return owed && job.record().repeatCount() == 0 && JobOrder.work(job.record()) > 0;
+  }
+
+  private void reviewQueue(List<Job> jobs, List<Job> candidates) {
+    jobs.sort(Comparator.comparingDouble(job -> JobOrder.work(job.record())));
+    double least = LEAST_SHARE * servedShare(jobs);
+    int from = 0;
+    for (double size : SIZES) {
+      int to = (int) Math.round(size * jobs.size());
+      List<Job> ofSize = jobs.subList(from, to);
+      if (servedShare(ofSize) < least) {
+        next(ofSize, candidates).ifPresent(turns::add);
+      }
+      from = to;
+    }
+  }
+
+  private Optional<Job> next(List<Job> ofSize, List<Job> candidates) {
+    Set<Job> wanted = new HashSet<>(ofSize);
+    return candidates.stream()
+        .filter(job -> wanted.contains(job) && !turns.contains(job))
+        .findFirst();
+  }
+
+  private double servedShare(List<Job> jobs) {
+    return jobs.stream().filter(this::isServed).count() / Math.max(1.0, jobs.size());
+  }
+
+  /** Tells whether a job has ended while it earned, or has its turn. */
+  private boolean isServed(Job job) {
+    if (job.phase() != JobPhase.COMPLETED) {
+      return turns.contains(job);
+    }
+    JobRecord record = job.record();
+    return job.endedAtMillis() - record.acceptedAtMillis() <= JobOrder.earningMillis(record);
+  }
+}
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -68,7 +68,7 @@
     boolean sparing = steady < sparingUntil;
     WorkerChoice choice = new WorkerChoice(workers.all(), pressure, sparing, steady);
     Set<Object> refused = new HashSet<>();
-    for (Job job : order.sorted(jobs.active(), steady)) {
+    for (Job job : order.sorted(jobs, steady)) {
       if (!job.isActive()) {
         continue;
       }
