--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -93,7 +93,11 @@
           "rack",
           listing.rack(),
           "draining",
-          listing.draining());
+          listing.draining(),
+          "born",
+          listing.bornMillis(),
+          "known-born",
+          worker.bornMillis());
     }
   }
 
@@ -278,13 +282,23 @@
   private void reborn(
       Worker worker, WorkerReport report, long sentAt, long steady, List<Order> orders) {
     boolean known = worker.bornMillis() != 0;
+    long former = worker.bornMillis();
     worker.rebirth(report.bornMillis());
     worker.retire(false);
     unstored.add(worker);
     if (!known) {
       return;
     }
-    log.record(Decision.WORKER_REBORN, "worker", worker.id(), "born", report.bornMillis());
+    log.record(
+        Decision.WORKER_REBORN,
+        "worker",
+        worker.id(),
+        "born",
+        report.bornMillis(),
+        "former",
+        former,
+        "lease-over-in",
+        worker.leaseOverMillis() - steady);
     runs.reborn(worker, report, sentAt, steady, orders);
   }
 
