--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -4,6 +4,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -55,7 +56,29 @@
     /** A stop takes a while. */
     SLOW_STOPS,
     /** Workers say that they leave, and some that they do not after all. */
-    DRAIN
+    DRAIN,
+    /** Steps whose tasks work only together. */
+    GANGS,
+    /** Jobs whose steps run several times, before the former time has ended too. */
+    OCCURRENCES,
+    /** Steps that fill, beside tasks that serve users and that they disturb. */
+    FILLING,
+    /** Unhealthy workers do nothing about stops either. */
+    UNHEALTHY_STOPS,
+    /** The owner's process stands still, and goes on as the owner. */
+    STALLED_OWNER,
+    /** The same, and its steady clock stands still with it. */
+    SUSPENDED_OWNER,
+    /** Answers come late, though in time. */
+    SLOW_ANSWERS,
+    /** Workers crash and restart in place at once. */
+    PROMPT_RESTART,
+    /** An owner is replaced beside a former one, ends, and the next one knows only of that end. */
+    FORMER_BEHIND_KNOWN_END,
+    /** Orders that a worker holds back reach its next life. */
+    OTHER_LIFE,
+    /** Workers grant leases longer than those that the owner asks for. */
+    LONG_LEASES
   }
 
   /** Longest time that an owner gives orders after its claim was proved last, in milliseconds. */
@@ -64,6 +87,21 @@
   /** Longest time that a followed owner without the store gives orders, in milliseconds. */
   private static final int FOLLOWED_MILLIS = 12_000;
 
+  /** Longest time for which an owner's process stands still and is not replaced. */
+  private static final int LONGEST_STALL_MILLIS = 3_000;
+
+  /** Longest time that an answer takes, in milliseconds; as the platform's client waits. */
+  private static final int SLOW_ANSWER_MILLIS = 480;
+
+  /** Longest lease that workers of one of the platform's sites grant, in milliseconds. */
+  private static final int LONG_LEASE_MILLIS = 10_000;
+
+  /** How long an owner that lost the store goes on once it is replaced, in milliseconds. */
+  private static final int UNPROVED_MILLIS = 1_000;
+
+  /** Shortest time in which a killed process is back and has told of itself, in milliseconds. */
+  private static final int RESTART_MILLIS = 500;
+
   private PoolFaults() {}
 
   /** Plays a day and returns the world after it. */
@@ -76,13 +114,14 @@
     world.listingLagMillis = faults.contains(Fault.LISTINGS) ? random.nextInt(3_000) : 0;
     world.lateOrdersPassCuts = true;
     world.reportsWaitForEnds = true;
+    prepare(world, seed, faults);
     if (faults.contains(Fault.SLOW_STOPS)) {
       world.workers.forEach(worker -> worker.stopMillis = random.nextInt(200));
     }
     List<Job> jobs = new ArrayList<>();
     for (int i = 0; i < ROUNDS && world.oracle.broken.isEmpty(); i++) {
       switch (random.nextInt(10)) {
-        case 0, 1, 2 -> jobs.add(world.submit(steps(random, faults), random.nextInt(3)));
+        case 0, 1, 2 -> jobs.add(submit(world, random, faults));
         case 3 -> world.lateOrders = random.nextInt(3) * 0.1;
         case 4 -> world.lostAnswers = random.nextInt(3) * 0.1;
         default -> happen(world, random, all.get(random.nextInt(all.size())), jobs);
@@ -91,6 +130,7 @@
     }
     world.lateOrders = 0;
     world.lostAnswers = 0;
+    world.slowAnswerMillis = 0;
     world.storeDown = false;
     world.beyondOwner.clear();
     world.beyondFormer.clear();
@@ -109,6 +149,47 @@
     return world;
   }
 
+  private static void prepare(PoolWorld world, long seed, Set<Fault> faults) {
+    world.lateOrdersReachOtherLives = faults.contains(Fault.OTHER_LIFE);
+    SimulatedGangs gangs = new SimulatedGangs();
+    SimulatedInterference model = new SimulatedInterference(seed, 0.5, 0.5, 5_000);
+    model.press("filling", "serving", 1);
+    for (SimulatedWorker worker : world.workers) {
+      worker.gangs = gangs;
+      worker.unhealthyForStops = faults.contains(Fault.UNHEALTHY_STOPS);
+      if (faults.contains(Fault.FILLING)) {
+        worker.interference = Optional.of(model);
+      }
+      if (faults.contains(Fault.LONG_LEASES)) {
+        worker.longestLeaseMillis = LONG_LEASE_MILLIS;
+      }
+    }
+  }
+
+  private static Job submit(PoolWorld world, Random random, Set<Fault> faults) {
+    if (faults.contains(Fault.GANGS) && random.nextInt(3) == 0) {
+      int tasks = 2 + random.nextInt(3);
+      int cpuMillis = 500 + random.nextInt(3_000);
+      long millis = 100L + random.nextInt(2_500);
+      List<StepSpec> gang = List.of(PoolWorld.gang(tasks, cpuMillis, millis, random.nextBoolean()));
+      return world.submit(gang, random.nextInt(3));
+    }
+    if (faults.contains(Fault.FILLING) && random.nextInt(2) == 0) {
+      StepSpec step =
+          random.nextInt(3) == 0
+              ? PoolWorld.serving(1 + random.nextInt(4), 3_000, 75)
+              : PoolWorld.filling(
+                  1 + random.nextInt(6), 3_000, 100L + random.nextInt(4_000), random.nextBoolean());
+      return world.submit(List.of(step), random.nextInt(3));
+    }
+    if (faults.contains(Fault.OCCURRENCES) && random.nextInt(3) == 0) {
+      int times = 2 + random.nextInt(4);
+      long interval = 300L + random.nextInt(2_000);
+      return world.submitRepeated(steps(random, faults), random.nextInt(3), times, interval);
+    }
+    return world.submit(steps(random, faults), random.nextInt(3));
+  }
+
   /** Plays days and returns the first broken promise of each that has one, by seed. */
   static Map<Long, String> playAll(long firstSeed, int count, Set<Fault> faults) {
     Map<Long, String> broken = new TreeMap<>();
@@ -147,9 +228,27 @@
           world.owner.find(id).ifPresent(world::cancel);
         }
       }
-      case CHECKPOINTS, LASTING, SLOW_STOPS -> {
+      case STALLED_OWNER -> world.stallOwner(1 + random.nextInt(LONGEST_STALL_MILLIS), false);
+      case SUSPENDED_OWNER -> world.stallOwner(1 + random.nextInt(LONGEST_STALL_MILLIS), true);
+      case SLOW_ANSWERS -> world.slowAnswerMillis = random.nextInt(2) * SLOW_ANSWER_MILLIS;
+      case PROMPT_RESTART -> {
+        if (worker.up) {
+          worker.crash(world.now);
+        }
+        restart(world, worker);
+      }
+      case FORMER_BEHIND_KNOWN_END -> {
+        replaceOwner(world, random, UNPROVED_MILLIS);
+        world.run(RESTART_MILLIS + random.nextInt(500));
+        world.replaceOwnerAfterKnownEnd();
+      }
+      case CHECKPOINTS, LASTING, SLOW_STOPS, GANGS, OCCURRENCES, FILLING -> {
         // in the steps and the workers
       }
+      case UNHEALTHY_STOPS -> worker.unhealthyUntil = world.now + random.nextInt(3_000);
+      case OTHER_LIFE, LONG_LEASES -> {
+        // all day
+      }
     }
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
@@ -62,4 +62,61 @@
   void noTaskRunsTwiceWhereWorkersRestartAtOtherAddresses(long seed) {
     play(seed, PoolFaults.of(Fault.MOVE, Fault.NEW_OWNER));
   }
+
+  /** Guards gangs, whose members are ordered, broken and started again together. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereGangsAreBrokenAndWorkersRefuseStops(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.GANGS,
+            Fault.UNHEALTHY,
+            Fault.UNHEALTHY_STOPS,
+            Fault.CRASH,
+            Fault.CUT,
+            Fault.NEW_OWNER,
+            Fault.SLOW_STOPS));
+  }
+
+  /** Guards occurrences that a new owner finds, beside a former one that goes on. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereOccurrencesOverlapAndOwnersGo(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.OCCURRENCES, Fault.FORMER_OWNER, Fault.CUT, Fault.STORE_SLOW, Fault.CANCEL));
+  }
+
+  /** Guards fillers that are stopped for serving tasks and placed again at once. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereFillersAreMovedAwayFromServingTasks(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.FILLING,
+            Fault.CHECKPOINTS,
+            Fault.UNHEALTHY,
+            Fault.UNHEALTHY_STOPS,
+            Fault.SLOW_STOPS,
+            Fault.NEW_OWNER));
+  }
+
+  /** Guards what an owner decides from late answers and after its process stood still. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhereTheOwnerStandsStillAndAnswersAreSlow(long seed) {
+    play(
+        seed,
+        PoolFaults.of(
+            Fault.STALLED_OWNER,
+            Fault.SUSPENDED_OWNER,
+            Fault.SLOW_ANSWERS,
+            Fault.UNHEALTHY,
+            Fault.UNHEALTHY_STOPS,
+            Fault.CRASH,
+            Fault.CUT));
+  }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,7 @@
   private static final long STEP_MILLIS = 10;
   private static final long NETWORK_MILLIS = 2;
   private static final int LONGEST_LATE_MILLIS = 9_000;
+  private static final PoolTiming TIMING = new PoolTiming(SimulatedWorker.LEASE_MILLIS, 300, 2_500);
 
   final TaskOracle oracle = new TaskOracle();
   final List<SimulatedWorker> workers = new ArrayList<>();
@@ -78,7 +80,12 @@
   /** How long an append takes, in milliseconds. */
   long appendMillis = 5;
 
+  /** Longest time that an answer takes beyond the network's, in milliseconds. */
+  int slowAnswerMillis;
+
   private final Map<String, Optional<WorkerListing>> told = new HashMap<>();
+  private final IdentityHashMap<JobScheduler, List<Runnable>> stalled = new IdentityHashMap<>();
+  private final IdentityHashMap<JobScheduler, Long> steadyLost = new IdentityHashMap<>();
   private Optional<FormerOwner> former = Optional.empty();
   private long term;
   private int nextJob;
@@ -133,15 +140,22 @@
 
   /** Starts a new owner from what is stored; the former one is gone. */
   void replaceOwner() {
+    replaceOwner(TIMING);
+  }
+
+  /**
+   * Starts a new owner from what is stored, which knows that the process of the claim before its
+   * own has ended, and asks nothing about owners before that.
+   */
+  void replaceOwnerAfterKnownEnd() {
+    replaceOwner(TIMING.afterKnownEnd());
+  }
+
+  private void replaceOwner(PoolTiming timing) {
     term++;
     told.clear();
     appending = Optional.empty();
-    owner =
-        new JobScheduler(
-            term,
-            new PoolTiming(SimulatedWorker.LEASE_MILLIS, 300, 2_500),
-            120_000,
-            decisionsOf(term));
+    owner = new JobScheduler(term, timing, 120_000, decisionsOf(term));
     owner.load(List.copyOf(store.values()), now, now);
     submitted.replaceAll((id, job) -> owner.find(id).orElse(job));
   }
@@ -158,13 +172,64 @@
     QueueRules rules = new QueueRules("queue" + priority, "service", priority, 3, 2.0, 1_000);
     String id = String.format("%016x", ++nextJob);
     JobRecord record = new JobRecord(id, rules, now, "payload", steps, 0, 0, 0);
-    Job job = owner.submit(record, now);
+    Job job = owner.submit(record, steady(owner));
+    submitted.put(id, job);
+    return job;
+  }
+
+  /** Submits a job whose steps run several times, the first time now. */
+  Job submitRepeated(List<StepSpec> steps, int priority, int times, long intervalMillis) {
+    QueueRules rules = new QueueRules("queue" + priority, "service", priority, 3, 2.0, 1_000);
+    String id = String.format("%016x", ++nextJob);
+    JobRecord record = new JobRecord(id, rules, now, "payload", steps, times, now, intervalMillis);
+    Job job = owner.submit(record, steady(owner));
     submitted.put(id, job);
     return job;
   }
 
+  /**
+   * Stops the owner's process for a while, right after it has decided and before what it decided
+   * leaves; what comes for it meanwhile waits.
+   *
+   * @param suspended whether its steady clock stands still too
+   */
+  void stallOwner(long millis, boolean suspended) {
+    if (isStalled(owner)) {
+      return;
+    }
+    JobScheduler scheduler = owner;
+    long stalledTerm = term;
+    List<Order> decided = owner.step(steady(owner), now);
+    stalled.put(scheduler, new ArrayList<>());
+    after(
+        millis,
+        () -> {
+          steadyLost.merge(scheduler, suspended ? millis : 0, Long::sum);
+          decided.forEach(order -> send(order, scheduler, stalledTerm));
+          stalled.remove(scheduler).forEach(Runnable::run);
+        });
+  }
+
+  private boolean isStalled(JobScheduler scheduler) {
+    return stalled.containsKey(scheduler);
+  }
+
+  /** Returns the time on an owner's steady clock, which may stand still while it is suspended. */
+  private long steady(JobScheduler scheduler) {
+    return now - steadyLost.getOrDefault(scheduler, 0L);
+  }
+
+  /** Hands something to an owner, once it is not stalled any more. */
+  private void hand(JobScheduler scheduler, Runnable event) {
+    if (isStalled(scheduler)) {
+      stalled.get(scheduler).add(event);
+    } else {
+      event.run();
+    }
+  }
+
   void cancel(Job job) {
-    owner.cancel(job, now, now);
+    owner.cancel(job, steady(owner), now);
   }
 
   void run(long millis) {
@@ -178,12 +243,19 @@
         worker.advance(now);
         list(worker);
       }
-      for (Order order : owner.step(now, now)) {
-        send(order, owner, term);
+      if (!isStalled(owner)) {
+        for (Order order : owner.step(steady(owner), now)) {
+          send(order, owner, term);
+        }
       }
       former = former.filter(f -> now < f.until());
-      former.ifPresent(
-          f -> f.scheduler().step(now, now).forEach(o -> send(o, f.scheduler(), f.term())));
+      former
+          .filter(f -> !isStalled(f.scheduler()))
+          .ifPresent(
+              f ->
+                  f.scheduler()
+                      .step(steady(f.scheduler()), now)
+                      .forEach(o -> send(o, f.scheduler(), f.term())));
       append();
     }
   }
@@ -196,24 +268,29 @@
         JobScheduler reader = owner;
         after(listingLagMillis, () -> tell(reader, worker.id, listing));
       }
-    } else if (listed) {
+    } else if (listed && !isStalled(owner)) {
       owner.listed(worker.listing());
     }
   }
 
   private void tell(JobScheduler reader, String worker, Optional<WorkerListing> listing) {
-    if (reader == owner) {
-      listing.ifPresentOrElse(reader::listed, () -> reader.unlisted(worker));
-    }
+    hand(
+        reader,
+        () -> {
+          if (reader == owner) {
+            listing.ifPresentOrElse(reader::listed, () -> reader.unlisted(worker));
+          }
+        });
   }
 
   private void append() {
-    if (appending.isPresent() || storeDown) {
+    if (appending.isPresent() || storeDown || isStalled(owner)) {
       return;
     }
     appending = owner.drainJournal();
     JobScheduler writer = owner;
-    appending.ifPresent(batch -> after(appendMillis, () -> stored(writer, batch)));
+    appending.ifPresent(
+        batch -> after(appendMillis, () -> hand(writer, () -> stored(writer, batch))));
   }
 
   private void stored(JobScheduler writer, JournalBatch batch) {
@@ -227,7 +304,7 @@
               record -> store.put(change.key(), record), () -> store.remove(change.key()));
     }
     appending = Optional.empty();
-    owner.stored(batch, now);
+    owner.stored(batch, steady(owner));
     batch
         .phases()
         .forEach(
@@ -261,7 +338,8 @@
             reportOnceDue(h, sender, result.get(), now + h.waitMillis());
           } else if (result.isPresent() && !lost) {
             long wait = order instanceof Order.Hold hold ? Math.min(50, hold.waitMillis()) : 0;
-            after(NETWORK_MILLIS + wait, () -> answer(sender, order, result.get()));
+            long slow = slowAnswerMillis > 0 ? faults.nextInt(slowAnswerMillis) : 0;
+            after(NETWORK_MILLIS + wait + slow, () -> answer(sender, order, result.get()));
           } else {
             after(timeoutMillis, () -> answer(sender, order, new OrderResult.Unanswered("lost")));
           }
@@ -273,7 +351,8 @@
     boolean endListed =
         !(made instanceof OrderResult.Reported reported) || !reported.report().ended().isEmpty();
     if (endListed || now >= until) {
-      after(NETWORK_MILLIS, () -> answer(sender, hold, made));
+      long slow = slowAnswerMillis > 0 ? faults.nextInt(slowAnswerMillis) : 0;
+      after(NETWORK_MILLIS + slow, () -> answer(sender, hold, made));
       return;
     }
     String address = hold.worker().address();
@@ -341,9 +420,13 @@
   }
 
   private void answer(JobScheduler sender, Order order, OrderResult result) {
-    if (sender == owner || former.filter(f -> f.scheduler() == sender).isPresent()) {
-      sender.ended(order, result, now, now);
-    }
+    hand(
+        sender,
+        () -> {
+          if (sender == owner || former.filter(f -> f.scheduler() == sender).isPresent()) {
+            sender.ended(order, result, steady(sender), now);
+          }
+        });
   }
 
   private void after(long millis, Runnable action) {
@@ -398,6 +481,73 @@
         0);
   }
 
+  static StepSpec gang(int count, int cpuMillis, long millis, boolean checkpointing) {
+    return new StepSpec(
+        count,
+        cpuMillis,
+        1_000,
+        0,
+        millis,
+        List.of(),
+        checkpointing,
+        true,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** A step that fills, of an image that presses on {@link #serving} ones. */
+  static StepSpec filling(int count, int cpuMillis, long millis, boolean checkpointing) {
+    return new StepSpec(
+        count,
+        cpuMillis,
+        1_000,
+        0,
+        millis,
+        List.of(),
+        checkpointing,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "filling",
+        0,
+        true,
+        0);
+  }
+
+  static StepSpec serving(int count, int cpuMillis, int targetMillis) {
+    return new StepSpec(
+        count,
+        cpuMillis,
+        1_000,
+        0,
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        true,
+        "serving",
+        targetMillis,
+        false,
+        0);
+  }
+
   static StepSpec lasting(int count, int cpuMillis) {
     return new StepSpec(
         count, cpuMillis, 1_000, 0, 0, List.of(), false, false, false, "", "", 0, false, true, "",
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
@@ -45,6 +45,15 @@
   /** Until when the worker calls itself unhealthy and does nothing about starts. */
   long unhealthyUntil;
 
+  /** Whether the worker does nothing about stops either while it calls itself unhealthy. */
+  boolean unhealthyForStops;
+
+  /** Longest lease that the worker grants, in milliseconds. */
+  int longestLeaseMillis = LEASE_MILLIS;
+
+  /** The gangs of all workers; alone unless a world shares them. */
+  SimulatedGangs gangs = new SimulatedGangs();
+
   /** How long a stop takes, in milliseconds. */
   long stopMillis;
 
@@ -59,6 +68,7 @@
     final boolean fails;
     double workLeftMillis;
     long stopsAt = Long.MAX_VALUE;
+    Optional<SimulatedGangs.Gang> gang = Optional.empty();
 
     Running(int attempt, StepSpec spec, long endsAt, boolean fails) {
       this.attempt = attempt;
@@ -106,8 +116,11 @@
     for (TaskId task : List.copyOf(running.keySet())) {
       Running run = running.get(task);
       boolean fills = interference.isPresent() && run.spec.filling();
+      Optional<EndKind> gangEnd = run.gang.flatMap(gang -> gang.endOf(task, now));
       if (clock(now) > leaseUntil) {
         end(task, EndKind.LAPSED, now);
+      } else if (gangEnd.isPresent()) {
+        end(task, gangEnd.get(), now);
       } else if (fills ? run.workLeftMillis <= 0 : now >= run.endsAt) {
         end(task, run.fails ? EndKind.FAILED : EndKind.DONE, now);
       } else if (now >= run.stopsAt) {
@@ -139,6 +152,7 @@
   private void end(TaskId task, EndKind kind, long now) {
     paces.remove(task);
     Running run = running.remove(task);
+    run.gang.ifPresent(gang -> gang.ended(task, kind));
     highestEnded.merge(task, run.attempt, Math::max);
     ended.add(new WorkerReport.EndedTask(++lastNumber, task, run.attempt, kind, ""));
     oracle.ended(task, id, kind, nameOf(lastNumber), now);
@@ -151,7 +165,9 @@
 
   /** Carries an order out and returns the answer. */
   OrderResult carryOut(Order order, long term, long now, boolean fails) {
-    if (order instanceof Order.Start && now < unhealthyUntil) {
+    boolean stops = order instanceof Order.Stop || order instanceof Order.StopStray;
+    boolean refused = order instanceof Order.Start || (stops && unhealthyForStops);
+    if (refused && now < unhealthyUntil) {
       return new OrderResult.Rejected(Rejection.UNHEALTHY);
     }
     if (term < token) {
@@ -191,7 +207,12 @@
       return new OrderResult.Rejected(Rejection.NO_ROOM);
     }
     long length = spec.lasting() ? Long.MAX_VALUE / 4 : spec.estimateMillis();
-    running.put(task, new Running(run.attempt(), spec, now + length, fails));
+    long endsAt = spec.gang() ? Long.MAX_VALUE / 4 : now + length;
+    Running begun = new Running(run.attempt(), spec, endsAt, fails);
+    if (spec.gang()) {
+      begun.gang = Optional.of(gangs.join(run, fails, now));
+    }
+    running.put(task, begun);
     oracle.started(run, id, now);
     return new OrderResult.Accepted(clock(now));
   }
@@ -239,7 +260,7 @@
   }
 
   private void extend(long until, long now) {
-    leaseUntil = Math.max(leaseUntil, Math.min(until, clock(now) + LEASE_MILLIS));
+    leaseUntil = Math.max(leaseUntil, Math.min(until, clock(now) + longestLeaseMillis));
   }
 
   /** Loses everything, as in a crash. */
@@ -247,6 +268,7 @@
     up = false;
     for (TaskId task : running.keySet()) {
       oracle.ended(task, id, EndKind.LAPSED, "", now);
+      running.get(task).gang.ifPresent(gang -> gang.ended(task, EndKind.LAPSED));
     }
     running.clear();
     ended.clear();
