--- a/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
@@ -88,6 +88,27 @@
     assertEquals(List.of(), world.oracle.broken, world::explanation);
   }
 
+  /**
+   * The owner after a process that has ended allowed for no orders of the owner before that one,
+   * which renewed a lease once more. In KNOWN-RED.txt.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {600, 700})
+  @Tag("known-red")
+  void aTaskDoesNotStartElsewhereWhileAnOwnerBeforeTheLastOneRenewsItsLease(long wait) {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.reportsWaitForEnds = true;
+    world.run(200);
+    Job job = world.submit(List.of(PoolWorld.step(1, 2_000, 20_000)), 0);
+    world.run(300 + wait);
+    world.beyondOwner.add(workerOf(world, job));
+    world.replaceOwnerBesideFormer(PROOF_MILLIS - 1_000);
+    world.run(400);
+    world.replaceOwnerAfterKnownEnd();
+    world.run(10_000);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
   /**
    * The former owner renewed the lease of a worker that the new one could not reach for longer than
    * the new one allowed for, so that the task began elsewhere while it ran.
@@ -134,4 +155,36 @@
     PoolWorld world = PoolFaults.play(seed, PoolFaults.of(Fault.FOLLOWED_FORMER_OWNER, Fault.CUT));
     assertEquals(List.of(), world.oracle.broken, () -> "seed " + seed + "\n" + world.explanation());
   }
+
+  /**
+   * The same in its shortest form: a run that the former owner lost sight of goes on under the
+   * later one and is done, and the former owner takes its silence for its end.
+   */
+  @Test
+  @Tag("known-red")
+  void aFollowedFormerOwnerStartsNothingAgainThatItHasLostSightOf() {
+    PoolWorld world = new PoolWorld(SEED, 2);
+    world.reportsWaitForEnds = true;
+    world.run(200);
+    Job job = world.submit(List.of(PoolWorld.step(1, 2_000, 2_000)), 0);
+    world.run(300);
+    SimulatedWorker first = workerOf(world, job);
+    world.replaceOwnerBesideFormer(FOLLOWED_MILLIS);
+    world.workers.forEach(w -> (w == first ? world.beyondFormer : world.beyondOwner).add(w));
+    world.run(FOLLOWED_MILLIS);
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
+  /**
+   * A former owner without the store started tasks on workers that had restarted in place since it
+   * asked them last, and so knew no term. In KNOWN-RED.txt.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {308, 432, 1023})
+  @Tag("known-red")
+  void noTaskRunsTwiceBesideAFormerOwnerThatHasNotSeenWorkersRestart(long seed) {
+    PoolWorld world =
+        PoolFaults.play(seed, PoolFaults.of(Fault.FORMER_OWNER, Fault.PROMPT_RESTART));
+    assertEquals(List.of(), world.oracle.broken, () -> "seed " + seed + "\n" + world.explanation());
+  }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/UnansweredStartTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/UnansweredStartTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
@@ -66,14 +67,18 @@
     scheduler.ended(hold, new OrderResult.Reported(report), now, now);
   }
 
-  private Order.Start startWithoutAnswer() {
-    scheduler.listed(listing(false));
-    run(50);
-    report(List.of());
+  private void submitOne() {
     QueueRules rules = new QueueRules("queue0", "service", 0, 3, 2.0, 1_000);
     StepSpec step = PoolWorld.step(1, 2_000, 4_000);
     scheduler.submit(
         new JobRecord("0000000000000001", rules, now, "payload", List.of(step), 0, 0, 0), now);
+  }
+
+  private Order.Start startWithoutAnswer() {
+    scheduler.listed(listing(false));
+    run(50);
+    report(List.of());
+    submitOne();
     run(100);
     Order.Start first = next(Order.Start.class);
     run(500);
@@ -137,6 +142,51 @@
         "30 s of reports without the run, and its task still waits for it");
   }
 
+  /**
+   * A repeat that was sent after an answer had been on its way for long named an earlier end of its
+   * lease than the copy before it, which counted as too late by the end that the repeat named. In
+   * KNOWN-RED.txt.
+   */
+  @Test
+  @Tag("known-red")
+  void aTaskStaysWhereACopyOfItsStartIsStillInTimeThoughALaterCopyIsNot() {
+    scheduler.listed(listing(false));
+    run(50);
+    report(List.of());
+    run(700);
+    submitOne();
+    run(100);
+    Order.Start first = next(Order.Start.class);
+    run(500);
+    scheduler.ended(first, new OrderResult.Unanswered("late"), now, now);
+    run(100);
+    Order.Hold hold = next(Order.Hold.class);
+    long made = hold.sentAtMillis() + 10;
+    assertTrue(now - made < hold.waitMillis() + 500, "the report is in time");
+    WorkerReport old = new WorkerReport(made - BORN, BORN, List.of(), List.of());
+    scheduler.ended(hold, new OrderResult.Reported(old), now, now);
+    run(250);
+    Order.Start second = next(Order.Start.class);
+    scheduler.ended(second, new OrderResult.Rejected(Rejection.UNHEALTHY), now, now);
+    while (now + 100 - BORN < first.leaseUntilMillis()) {
+      run(100);
+      while (hasSent(Order.Stop.class)) {
+        scheduler.ended(
+            next(Order.Stop.class), new OrderResult.Rejected(Rejection.UNHEALTHY), now, now);
+      }
+      if (hasSent(Order.Hold.class)) {
+        report(List.of());
+      }
+      assertTrue(
+          first.run().task().runs().contains(first.run()),
+          () ->
+              "given up at "
+                  + (now - BORN)
+                  + " of the worker's clock, a copy is in time until "
+                  + first.leaseUntilMillis());
+    }
+  }
+
   private static long timeOf(PoolWorld world, String decision, String values) {
     return world.history.stream()
         .filter(line -> line.contains(decision) && line.contains(values))
