--- a/core/src/main/java/org/lavenderstage/core/pool/Fit.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Fit.java
@@ -6,6 +6,8 @@
   FITS,
   /** The worker takes no runs, or is none that the task may run on. */
   NOT_ALLOWED,
+  /** The worker gets no runs for a while, after a rejection, failures or a restart in place. */
+  PAUSED,
   /** Other runs reserve the room. */
   RESERVED,
   /** The room is kept for a task that needs it more. */
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -164,7 +164,9 @@
    * where all have room.
    */
   private void placeGang(StepRun step, List<Task> waiting, WorkerChoice choice, long steady) {
+    Task first = waiting.get(0);
     if (waiting.size() < step.tasks().size() || !mayHaveRoom(waiting, choice)) {
+      waits.deferred(first, turn, () -> choice.fits(first), steady);
       return;
     }
     List<Run> reserved = reserveAll(waiting, choice, steady);
@@ -174,8 +176,10 @@
       choice.placedOn(worker);
     }
     if (reserved.size() < waiting.size()) {
+      waits.deferred(first, turn, () -> choice.fits(first), steady);
       return;
     }
+    waits.placed(step.job());
     int attempt = waiting.stream().mapToInt(this::nextAttempt).max().orElseThrow();
     for (Run run : reserved) {
       begin(run.task(), workers.find(run.worker()).orElseThrow(), attempt, steady);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -208,7 +208,7 @@
 
   private Fit fit(Worker worker, Task task) {
     if (!isAllowed(worker, task)) {
-      return Fit.NOT_ALLOWED;
+      return worker.isBlocked(steadyMillis) ? Fit.PAUSED : Fit.NOT_ALLOWED;
     }
     StepSpec spec = task.step().spec();
     if (!Worker.demand(spec).fitsIn(worker.free())) {
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -284,7 +284,14 @@
     if (!known) {
       return;
     }
-    log.record(Decision.WORKER_REBORN, "worker", worker.id(), "born", report.bornMillis());
+    log.record(
+        Decision.WORKER_REBORN,
+        "worker",
+        worker.id(),
+        "born",
+        report.bornMillis(),
+        "paused-ms",
+        Math.max(0, worker.forgettingOpenUntil() - steady));
     runs.reborn(worker, report, sentAt, steady, orders);
   }
 
