Tests of seven forms of LOST that the current code allows, known red

Each waits for longer than the users' rule of lost work allows, on pools that have room for the waiting task twice over: after a restart in place behind a cut, beside one replaced owner, beside room kept for an interrupted task (a lasting task that never ran, and a short one of the same shape), an interrupted gang, a gang of which a worker rejected one member, and a filling job in a pool of which a fifth is reserved.

--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -0,0 +1,354 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.job.TaskId;
+
+/**
+ * No job waits for three seconds with nothing running while there is room for its task twice over
+ * and under half of the pool is in use. A lasting task does not wait so long at any load, counted
+ * from six seconds after its last run and from four seconds after the last fault.
+ */
+class LostWorkTest {
+  private static final long SEED = 17;
+
+  /** Longest wait with room that the users' rules allow, in milliseconds. */
+  private static final long BOUND_MILLIS = 3_000;
+
+  /** Time after the last run of a lasting task that does not count; from the users' rules. */
+  private static final long AFTER_RUN_MILLIS = 6_000;
+
+  /** Time after a fault that does not count; from the users' rules. */
+  private static final long CALM_MILLIS = 4_000;
+
+  private static final long STOP_MILLIS = 200;
+  private static final long NEVER = 100_000;
+
+  private PoolWorld world;
+  private final List<Job> watched = new ArrayList<>();
+  private final Map<Object, Long> lastRun = new HashMap<>();
+  private final Map<Object, Long> waitsSince = new HashMap<>();
+  private long calmFrom;
+  private long longestWait;
+  private String longestWaitOf = "none";
+
+  /** What is handed in while time goes on. */
+  private Runnable load = () -> {};
+
+  /** Processors of a worker that a watched task may have, in thousandths of a core. */
+  private ToIntFunction<SimulatedWorker> room = LostWorkTest::free;
+
+  private void begin(int workers, int cpuMillis) {
+    world = new PoolWorld(SEED, workers);
+    for (SimulatedWorker worker : world.workers) {
+      worker.cpuMillis = cpuMillis;
+      worker.stopMillis = STOP_MILLIS;
+    }
+    world.listingsToldOnce = true;
+    world.listingLagMillis = 400;
+    world.reportsWaitForEnds = true;
+    world.timeoutMillis = 500;
+    run(1_000);
+  }
+
+  private Job watch(StepSpec step, int priority) {
+    Job job = world.submit(List.of(step), priority);
+    watched.add(job);
+    return job;
+  }
+
+  /** Hands in a task of less need or a short urgent one again and again. */
+  private static Runnable stream(PoolWorld world, StepSpec step, int priority, long everyMillis) {
+    long[] next = {world.now};
+    return () -> {
+      if (world.now >= next[0]) {
+        next[0] = world.now + everyMillis;
+        world.submit(List.of(step), priority);
+      }
+    };
+  }
+
+  private void run(long millis) {
+    for (long until = world.now + millis; world.now < until; ) {
+      load.run();
+      world.run(10);
+      watched.forEach(this::look);
+    }
+  }
+
+  private void disturbed() {
+    calmFrom = world.now + CALM_MILLIS;
+  }
+
+  private void look(Job job) {
+    StepSpec spec = job.record().steps().get(0);
+    if (spec.lasting()) {
+      for (TaskId task : tasks(job)) {
+        long counts = lastRun.getOrDefault(task, Long.MIN_VALUE / 2) + AFTER_RUN_MILLIS;
+        count(task, isRunning(task), world.now >= Math.max(counts, calmFrom), spec);
+      }
+    } else {
+      Job now = world.submitted.get(job.id());
+      boolean served =
+          now.phase() != JobPhase.ACTIVE || tasks(job).stream().anyMatch(this::isRunning);
+      count(job.id(), served, isHalfFree(), spec);
+    }
+  }
+
+  private void count(Object waiting, boolean runs, boolean counts, StepSpec spec) {
+    if (runs) {
+      lastRun.put(waiting, world.now);
+    }
+    if (runs || !counts || places(spec) < 2) {
+      waitsSince.remove(waiting);
+      return;
+    }
+    long wait = world.now - waitsSince.computeIfAbsent(waiting, key -> world.now);
+    if (wait > longestWait) {
+      longestWait = wait;
+      longestWaitOf = waiting.toString();
+    }
+  }
+
+  private static List<TaskId> tasks(Job job) {
+    List<TaskId> tasks = new ArrayList<>();
+    for (int i = 0; i < job.record().steps().get(0).count(); i++) {
+      tasks.add(new TaskId(job.id(), 0, 0, i));
+    }
+    return tasks;
+  }
+
+  private boolean isRunning(TaskId task) {
+    return world.workers.stream().anyMatch(worker -> worker.up && worker.runs(task));
+  }
+
+  private SimulatedWorker placeOf(TaskId task) {
+    return world.workers.stream().filter(worker -> worker.runs(task)).findFirst().orElseThrow();
+  }
+
+  private int places(StepSpec spec) {
+    int demand = Math.max(1, Worker.demand(spec).cpuMillis());
+    return world.workers.stream()
+        .filter(worker -> worker.up && !worker.cut && !worker.draining)
+        .filter(worker -> world.now >= worker.unhealthyUntil)
+        .mapToInt(worker -> room.applyAsInt(worker) / demand)
+        .sum();
+  }
+
+  private static int free(SimulatedWorker worker) {
+    return worker.cpuMillis - worker.takenCpuMillis - used(worker);
+  }
+
+  private static int used(SimulatedWorker worker) {
+    return worker.shares().stream()
+        .mapToInt(share -> Worker.demand(share.spec()).cpuMillis())
+        .sum();
+  }
+
+  /** Counts what short tasks take as room, where lasting ones have to go before them. */
+  private static int freeOrShort(SimulatedWorker worker) {
+    return free(worker)
+        + worker.shares().stream()
+            .filter(share -> !share.spec().lasting())
+            .mapToInt(share -> share.spec().cpuMillis())
+            .sum();
+  }
+
+  private boolean isHalfFree() {
+    List<SimulatedWorker> up = world.workers.stream().filter(worker -> worker.up).toList();
+    int capacity = up.stream().mapToInt(worker -> worker.cpuMillis).sum();
+    return 2 * up.stream().mapToInt(LostWorkTest::used).sum() < capacity;
+  }
+
+  private void assertNothingLost() {
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+    assertFalse(lastRun.isEmpty() && longestWait == 0, "nothing was watched");
+    assertTrue(
+        longestWait <= BOUND_MILLIS,
+        () ->
+            longestWaitOf
+                + " waited for "
+                + longestWait
+                + " ms:\n"
+                + world.history.stream()
+                    .filter(l -> l.contains(longestWaitOf) || l.contains(" WORKER_"))
+                    .collect(Collectors.joining("\n")));
+  }
+
+  /** A worker that was reborn while an order to forget ends was open takes no runs for 15 s. */
+  @Test
+  @Tag("known-red")
+  void aLastingTaskRunsAgainOnAWorkerThatRestartedInPlaceBehindACut() {
+    begin(8, 32_000);
+    watch(PoolWorld.lasting(24, 6_400), 0);
+    load = stream(world, PoolWorld.step(1, 2_300, 1_000), 0, 50);
+    run(4_000);
+    List<SimulatedWorker> cutOff = world.workers.subList(0, 4);
+    cutOff.forEach(worker -> worker.cut = true);
+    run(2_000);
+    for (SimulatedWorker worker : cutOff) {
+      worker.crash(world.now);
+      worker.restart(world.now);
+    }
+    run(3_500);
+    cutOff.forEach(worker -> worker.cut = false);
+    disturbed();
+    run(20_000);
+    assertNothingLost();
+  }
+
+  /** The new owner waits for the leases of the crashed worker from its own beginning. */
+  @Test
+  @Tag("known-red")
+  void aTaskOfACrashedWorkerRunsAgainThoughTheOwnerIsReplacedOnce() {
+    begin(6, 8_000);
+    Job job = watch(PoolWorld.lasting(10, 2_000), 0);
+    run(2_000);
+    placeOf(tasks(job).get(0)).crash(world.now);
+    run(4_000);
+    world.replaceOwner();
+    disturbed();
+    run(20_000);
+    assertNothingLost();
+  }
+
+  /** Keeps the only worker that does not leave for a task that needs more than it has free. */
+  private void keepTheWholePoolForAnInterruptedTask() {
+    begin(2, 32_000);
+    Job large = world.submit(List.of(PoolWorld.lasting(1, 20_000)), 0);
+    run(200);
+    SimulatedWorker first = placeOf(tasks(large).get(0));
+    world.submit(List.of(PoolWorld.step(1, 15_000, 60_000)), 2);
+    run(200);
+    first.draining = true;
+    run(1_000);
+  }
+
+  /**
+   * Room that is kept for an interrupted task is kept from lasting ones for as long as it waits.
+   */
+  @Test
+  @Tag("known-red")
+  void aLastingTaskThatNeverRanRunsBesideRoomKeptForAnInterruptedOne() {
+    keepTheWholePoolForAnInterruptedTask();
+    watch(PoolWorld.lasting(1, 2_000), 0);
+    run(10_000);
+    assertNothingLost();
+  }
+
+  /** A lasting task that may not have kept room takes it from short ones of its shape as well. */
+  @Test
+  @Tag("known-red")
+  void aShortTaskRunsBesideALastingOneOfItsShapeThatHasNoPlace() {
+    keepTheWholePoolForAnInterruptedTask();
+    world.submit(List.of(PoolWorld.lasting(1, 2_000)), 0);
+    watch(PoolWorld.step(1, 2_000, 5_000), 2);
+    run(10_000);
+    assertNothingLost();
+  }
+
+  private static StepSpec lastingGang(int count, int cpuMillis, int maxPerWorker) {
+    return new StepSpec(
+        count,
+        cpuMillis,
+        1_000,
+        0,
+        0,
+        List.of(),
+        false,
+        true,
+        false,
+        "",
+        "",
+        maxPerWorker,
+        false,
+        true,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** Batch tasks take each piece that gets free, since no room is kept for a gang. */
+  @Test
+  @Tag("known-red")
+  void anInterruptedGangRunsAgainThoughBatchTasksFitIntoEveryPlaceThatGetsFree() {
+    begin(4, 32_000);
+    room = LostWorkTest::freeOrShort;
+    Job gang = watch(lastingGang(2, 8_000, 0), 0);
+    run(500);
+    load = stream(world, PoolWorld.step(1, 3_500, 1_000), 2, 30);
+    run(3_000);
+    tasks(gang).forEach(task -> placeOf(task).draining = true);
+    run(15_000);
+    assertNothingLost();
+  }
+
+  /**
+   * The other members go on waiting for the one that was rejected, until the platform ends them.
+   */
+  @Test
+  @Tag("known-red")
+  void aGangRunsWholeThoughAWorkerRejectedOneOfItsMembers() {
+    begin(5, 8_000);
+    world.workers.get(0).takenCpuMillis = 6_000;
+    watch(lastingGang(4, 4_000, 1), 0);
+    run(10_000);
+    assertNothingLost();
+  }
+
+  /** An image that has pressed once is tried no more, though it leaves the target met. */
+  @Test
+  @Tag("known-red")
+  void aFillingJobRunsWhereServingTasksReserveAFifthOfEachWorker() {
+    SimulatedInterference model = new SimulatedInterference(SEED, 0.48, 0, NEVER);
+    model.press("filling", "serving", 3);
+    begin(8, 32_000);
+    world.workers.forEach(worker -> worker.interference = Optional.of(model));
+    StepSpec serving =
+        new StepSpec(
+            8,
+            6_400,
+            13_000,
+            0,
+            0,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            1,
+            false,
+            true,
+            "serving",
+            6 * SimulatedInterference.FLOOR_MILLIS,
+            false,
+            0);
+    world.submit(List.of(serving), 0);
+    run(5_000);
+    StepSpec filling =
+        new StepSpec(
+            1, 3_500, 6_400, 0, 1_700, List.of(), true, false, false, "", "", 0, false, false,
+            "filling", 0, true, 0);
+    for (int i = 0; i < 4; i++) {
+      watch(filling, 2);
+      run(6_000);
+    }
+    assertNothingLost();
+  }
+}
