--- a/core/src/main/java/org/lavenderstage/core/pool/Fit.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Fit.java
@@ -15,5 +15,10 @@
   /** Too few processors are unused, though they are not reserved. */
   BUSY,
   /** A task that serves users there would miss its target. */
-  PRESSES
+  PRESSES,
+  /**
+   * The task waits for this worker, where a former owner may have started it: neither a report nor
+   * the end of the worker's lease has told.
+   */
+  UNSEEN
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -90,7 +90,12 @@
     List<Task> waiting = new ArrayList<>();
     List<Task> interrupted = new ArrayList<>();
     for (Task task : step.tasks()) {
-      if (task.isWaiting(steady) && !(inheritanceOpen && task.isInherited())) {
+      if (!task.isWaiting(steady)) {
+        continue;
+      }
+      if (inheritanceOpen && task.isInherited()) {
+        waits.deferred(task, turn, () -> Map.of(Fit.UNSEEN, workers.unseenCount(steady)), steady);
+      } else {
         (task.isInterrupted(steady) ? interrupted : waiting).add(task);
       }
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -302,9 +302,16 @@
 
   /** Tells whether a worker of a former owner may still run something that is not known. */
   boolean hasUnseenRuns(long steady) {
-    return workers.values().stream()
-        .anyMatch(
-            w -> w.isRegistered() && !w.hasReportedAllEnds() && steady <= w.leaseOverMillis());
+    return unseenCount(steady) > 0;
+  }
+
+  /** Counts the workers of a former owner that may still run something that is not known. */
+  int unseenCount(long steady) {
+    return (int)
+        workers.values().stream()
+            .filter(
+                w -> w.isRegistered() && !w.hasReportedAllEnds() && steady <= w.leaseOverMillis())
+            .count();
   }
 
   boolean hasChanges() {
