Tests of two more forms of LOST, known red

A job of which nothing ran on a crashed worker waits until that worker's lease is over where the owner is replaced, in a pool that is three quarters free. A lasting task that never ran leaves the last place to an urgent one that waits for another worker, and for which the place is too small.

--- a/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -66,7 +66,11 @@
   }
 
   private Job watch(StepSpec step, int priority) {
-    Job job = world.submit(List.of(step), priority);
+    return watch(List.of(step), priority);
+  }
+
+  private Job watch(List<StepSpec> steps, int priority) {
+    Job job = world.submit(steps, priority);
     watched.add(job);
     return job;
   }
@@ -126,8 +130,10 @@
 
   private static List<TaskId> tasks(Job job) {
     List<TaskId> tasks = new ArrayList<>();
-    for (int i = 0; i < job.record().steps().get(0).count(); i++) {
-      tasks.add(new TaskId(job.id(), 0, 0, i));
+    for (int step = 0; step < job.record().steps().size(); step++) {
+      for (int i = 0; i < job.record().steps().get(step).count(); i++) {
+        tasks.add(new TaskId(job.id(), 0, step, i));
+      }
     }
     return tasks;
   }
@@ -226,6 +232,22 @@
     assertNothingLost();
   }
 
+  /** Every inherited task waits for a worker that never had a run of its job. */
+  @Test
+  @Tag("known-red")
+  void aJobGoesOnThoughTheOwnerIsReplacedBesideACrashedWorkerThatNeverRanIt() {
+    begin(6, 8_000);
+    Job lasting = world.submit(List.of(PoolWorld.lasting(6, 2_000)), 0);
+    run(2_000);
+    placeOf(tasks(lasting).get(0)).crash(world.now);
+    run(1_800);
+    watch(List.of(PoolWorld.step(2, 2_000, 300), PoolWorld.step(2, 2_000, 5_000, 0)), 0);
+    run(200);
+    world.replaceOwner();
+    run(20_000);
+    assertNothingLost();
+  }
+
   /** Keeps the only worker that does not leave for a task that needs more than it has free. */
   private void keepTheWholePoolForAnInterruptedTask() {
     begin(2, 32_000);
@@ -261,6 +283,24 @@
     assertNothingLost();
   }
 
+  /** The last place is left to an urgent task that needs more than the place has. */
+  @Test
+  @Tag("known-red")
+  void aLastingTaskThatNeverRanRunsWhereAnUrgentOneWaitsForAnotherWorker() {
+    begin(2, 32_000);
+    world.submit(List.of(PoolWorld.step(1, 3_000, 60_000)), 2);
+    run(200);
+    world.submit(List.of(PoolWorld.lasting(1, 24_000)), 0);
+    run(200);
+    world.submit(List.of(PoolWorld.lasting(1, 21_000)), 0);
+    run(200);
+    world.submit(List.of(PoolWorld.step(1, 10_000, 500)), 0);
+    run(200);
+    watch(PoolWorld.lasting(1, 6_000), 0);
+    run(10_000);
+    assertNothingLost();
+  }
+
   private static StepSpec lastingGang(int count, int cpuMillis, int maxPerWorker) {
     return new StepSpec(
         count,
