--- a/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -248,6 +248,25 @@
     assertNothingLost();
   }
 
+  /** Lasting tasks that are handed in while an inherited one waits for a worker take its room. */
+  @Test
+  @Tag("known-red")
+  void anInheritedTaskOfACrashedWorkerRunsAgainBeforeLastingTasksThatNeverRan() {
+    begin(6, 8_000);
+    Job job = watch(PoolWorld.lasting(4, 6_000), 0);
+    run(2_000);
+    TaskId interrupted = tasks(job).get(0);
+    placeOf(interrupted).crash(world.now);
+    run(2_000);
+    world.replaceOwner();
+    disturbed();
+    run(1_000);
+    world.submit(List.of(PoolWorld.lasting(2, 6_000)), 0);
+    run(15_000);
+    assertTrue(isRunning(interrupted), () -> String.join("\n", world.history));
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
   /** Keeps the only worker that does not leave for a task that needs more than it has free. */
   private void keepTheWholePoolForAnInterruptedTask() {
     begin(2, 32_000);
