--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -16,7 +16,7 @@
  */
 final class FillGuard {
   /** Part of a limit that is kept free for the load to grow before the next report. */
-  private static final double HEADROOM = 0.02;
+  private static final double HEADROOM = 0.05;
 
   /** Fillers that add less to a utilization are left alone while the target holds. */
   private static final double NEGLIGIBLE = 0.01;
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -40,7 +40,7 @@
   private static final double HEAVY_PRESSURE = 0.9;
 
   /** Part of the limits of serving tasks that new filling tasks leave free. */
-  private static final double HEADROOM = 0.05;
+  private static final double HEADROOM = 0.08;
 
   /** Utilization up to which a filling task is too light for the headroom to matter. */
   private static final double LIGHT = 0.015;
