--- a/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
@@ -1,23 +1,33 @@
 package org.lavenderstage.core.pool;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.StepSpec;
 
-/** Where serving tasks go, so that filling ones find room beside them. */
+/** Where filling tasks find room beside serving ones, whose load is that of the moment. */
 class FillPlacementTest {
   private static final long SEED = 7;
   private static final int WORKER_CPU = 32_000;
   private static final double SERVING_LOAD = 0.48;
 
-  private static final int TARGET_MILLIS = 150;
+  /** Time within which the filling jobs earn anything: three times 2 x 1,000 + 1,000 ms. */
+  private static final long EARNING_MILLIS = 9_000;
 
-  private static StepSpec serving(String image) {
+  /** Target that leaves a serving task a tenth of its utilization; a tail without load is 25 ms. */
+  private static final int TIGHT_TARGET_MILLIS = 60;
+
+  private static final int ROOMY_TARGET_MILLIS = 150;
+
+  private static StepSpec serving(String image, int targetMillis) {
     return new StepSpec(
         1,
         6_400,
@@ -34,11 +44,33 @@
         false,
         true,
         image,
-        TARGET_MILLIS,
+        targetMillis,
         false,
         0);
   }
 
+  private static StepSpec filling(int count, int cpuMillis, String image) {
+    return new StepSpec(
+        count,
+        cpuMillis,
+        1_000,
+        0,
+        1_000,
+        List.of(),
+        true,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        image,
+        0,
+        true,
+        0);
+  }
+
   private static PoolWorld world(int workers, SimulatedInterference model) {
     PoolWorld world = new PoolWorld(SEED, workers);
     for (SimulatedWorker worker : world.workers) {
@@ -49,13 +81,28 @@
     return world;
   }
 
+  /** Issue 20: the tightest serving task withheld the room of the one that a filler presses on. */
+  @Test
+  void fillersRunBesideATightServingTaskThatTheyDoNotPressOn() {
+    SimulatedInterference model = new SimulatedInterference(SEED, SERVING_LOAD, 0, 20_000);
+    model.press("filler", "roomy", 5);
+    model.press("filler", "tight", 0);
+    PoolWorld world = world(1, model);
+    world.submit(List.of(serving("roomy", ROOMY_TARGET_MILLIS)), 0);
+    world.submit(List.of(serving("tight", TIGHT_TARGET_MILLIS)), 0);
+    world.run(5_000);
+    Job job = world.submit(List.of(filling(20, 400, "filler")), 2);
+    world.run(EARNING_MILLIS);
+    assertEquals(JobPhase.COMPLETED, job.phase(), "done in core-ms: " + model.fillingCoreMillis);
+  }
+
   /** Issue 20: serving tasks of all images on each worker left fillers that press no place. */
   @Test
   void servingTasksOfOneImageShareWorkersWhileOthersAreFree() {
     List<String> images = List.of("s0", "s1", "s2", "s3");
     PoolWorld world = world(4, new SimulatedInterference(SEED, SERVING_LOAD, 0, 20_000));
     for (int i = 0; i < 16; i++) {
-      world.submit(List.of(serving(images.get(i % 4))), 0);
+      world.submit(List.of(serving(images.get(i % 4), ROOMY_TARGET_MILLIS)), 0);
       world.run(100);
     }
     for (SimulatedWorker worker : world.workers) {
@@ -64,4 +111,41 @@
       assertEquals(1, served.size(), () -> worker.id + " serves " + served);
     }
   }
+
+  /** Issue 20: an image that presses on all serving images but one has a place beside that one. */
+  @Test
+  @Tag("known-red")
+  void fillersThatPressOnAllServingImagesButOneRun() {
+    SimulatedInterference model = new SimulatedInterference(SEED, SERVING_LOAD, 0.5, 20_000);
+    List<String> images = List.of("s0", "s1", "s2", "s3");
+    images.forEach(image -> model.press("filler", image, image.equals("s3") ? 0.07 : 5));
+    PoolWorld world = world(4, model);
+    for (int i = 0; i < 16; i++) {
+      world.submit(List.of(serving(images.get(i % 4), ROOMY_TARGET_MILLIS)), 0);
+      world.run(100);
+    }
+    world.run(5_000);
+    Job job = world.submit(List.of(filling(24, 3_500, "filler")), 2);
+    world.run(EARNING_MILLIS);
+    assertEquals(JobPhase.COMPLETED, job.phase(), "done in core-ms: " + model.fillingCoreMillis);
+    assertTrue(model.longestOverMillis < 4_000, "longest: " + model.longestOverMillis);
+  }
+
+  /** Issue 20: an image that presses on all serving images has a place where none serves. */
+  @Test
+  @Tag("known-red")
+  void fillersThatPressOnAllServingImagesRunWhereServingTasksFitOnOneWorker() {
+    SimulatedInterference model = new SimulatedInterference(SEED, SERVING_LOAD, 0.5, 20_000);
+    List<String> images = List.of("s0", "s1", "s2", "s3");
+    images.forEach(image -> model.press("filler", image, 5));
+    PoolWorld world = world(4, model);
+    for (String image : images) {
+      world.submit(List.of(serving(image, ROOMY_TARGET_MILLIS)), 0);
+      world.run(100);
+    }
+    world.run(5_000);
+    Job job = world.submit(List.of(filling(24, 3_500, "filler")), 2);
+    world.run(EARNING_MILLIS);
+    assertEquals(JobPhase.COMPLETED, job.phase(), "done in core-ms: " + model.fillingCoreMillis);
+  }
 }
