Use nothing known of a worker's former life once its listing names another

Callers would see a task start on a second worker while it still ran or after its end was noted, where a worker had restarted in place under its identifier. Cause: WorkerTable.listed took the life that a listing names only of unknown workers. Until a report told, up to 1.5 s later, starts and leases named ends by the former life's clock, hours ahead of the new one, and orders to forget named the former life's numbers. The answer to a start, which names no life, set the clock too. From the first listing of another life on, the worker takes no run, no lease and no end to forget until a report that was asked for since, or one that names another life, has told. It is asked at once, and the report need not wait for an end. Runs of the former life are given up by that report as before. Clocks come from reports alone.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -68,7 +68,6 @@
     }
     switch (result) {
       case OrderResult.Accepted accepted -> {
-        worker.sampleClock(accepted.clockMillis(), steady);
         worker.history().refusedStart(false);
         if (run.state() == Run.State.STARTING) {
           run.become(Run.State.RUNNING, steady);
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -38,6 +38,8 @@
   private boolean reportedAllEnds;
   private long clockOffsetMillis;
   private boolean clockKnown;
+  private boolean lifeInDoubt;
+  private boolean askedInDoubt;
   private long leaseOverMillis;
   private long seenUpTo;
   private long notedUpTo;
@@ -104,6 +106,26 @@
     notedUpTo = 0;
     forgottenUpTo = 0;
     clockKnown = false;
+    lifeInDoubt = false;
+  }
+
+  /**
+   * Notes that the listing has come to name another life than the one that is known. Its clock, its
+   * ends and its term are unknown until it reports.
+   */
+  void doubtLife() {
+    lifeInDoubt = true;
+    askedInDoubt = false;
+  }
+
+  /** Tells whether the listing has named another life, and no report has told since. */
+  boolean isLifeInDoubt() {
+    return lifeInDoubt;
+  }
+
+  /** Notes that a report names the life that is known; one asked for before the doubt is old. */
+  void lifeReported() {
+    lifeInDoubt &= !askedInDoubt;
   }
 
   void bornAt(long born) {
@@ -175,8 +197,9 @@
     reportedAllEnds = true;
   }
 
+  /** Tells whether the clock of the life that orders reach is known. */
   boolean isClockKnown() {
-    return clockKnown;
+    return clockKnown && !lifeInDoubt;
   }
 
   void sampleClock(long workerMillis, long steadyMillis) {
@@ -221,11 +244,12 @@
 
   /**
    * Returns the number up to which the worker may forget ends now. It is named only in the order
-   * after a report, and never to a worker that has been silent since: another life of the worker
-   * numbers its ends from 1 again, and must not forget any that were never seen.
+   * after a report, and never to a worker that has been silent since or may have restarted: another
+   * life of the worker numbers its ends from 1 again, and must not forget any that were never seen.
    */
   long endsToForget() {
-    return greeted && !isSilent() && notedUpTo > forgottenUpTo ? notedUpTo : 0;
+    boolean sameLife = greeted && !lifeInDoubt && !isSilent();
+    return sameLife && notedUpTo > forgottenUpTo ? notedUpTo : 0;
   }
 
   /** Tells whether the worker lists no end any more, so that a later owner is told none again. */
@@ -237,17 +261,15 @@
     forgottenUpTo = Math.max(forgottenUpTo, number);
   }
 
-  boolean isHoldInFlight() {
-    return holdInFlight;
-  }
-
-  long nextHoldMillis() {
-    return nextHoldMillis;
+  /** Tells whether the worker is to be asked for a report; at once after doubt of its life. */
+  boolean isHoldDue(long steadyMillis) {
+    return !holdInFlight && (steadyMillis >= nextHoldMillis || (lifeInDoubt && !askedInDoubt));
   }
 
   void holdSent() {
     holdInFlight = true;
     holdAddress = address;
+    askedInDoubt = lifeInDoubt;
   }
 
   /** Tells whether the latest order to report went to where the worker is listed now. */
@@ -286,7 +308,7 @@
   boolean takesRuns(long steadyMillis) {
     return isLifeStored()
         && greeted
-        && clockKnown
+        && isClockKnown()
         && !isSilent()
         && listing.isPresent()
         && !listing.get().draining()
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -71,9 +71,12 @@
   void listed(WorkerListing listing) {
     Worker worker = workers.computeIfAbsent(listing.id(), id -> new Worker(id, listing.address()));
     boolean changed = !worker.listing().equals(Optional.of(listing));
+    long bornBefore = worker.listing().map(WorkerListing::bornMillis).orElse(0L);
     worker.list(Optional.of(listing));
     if (worker.bornMillis() == 0) {
       worker.bornAt(listing.bornMillis());
+    } else if (namesAnotherLife(listing, bornBefore, worker)) {
+      worker.doubtLife();
     }
     if (worker.isRetired() && !listing.draining()) {
       worker.retire(false);
@@ -101,6 +104,15 @@
     }
   }
 
+  /**
+   * Tells whether a listing is the first to name another life than the known one. A later one that
+   * still does is older than the report that told.
+   */
+  private static boolean namesAnotherLife(WorkerListing next, long bornBefore, Worker worker) {
+    long born = next.bornMillis();
+    return born != 0 && born != bornBefore && born != worker.bornMillis();
+  }
+
   void unlisted(String id) {
     Worker worker = workers.get(id);
     if (worker != null && worker.listing().isPresent()) {
@@ -127,7 +139,7 @@
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         forget(worker);
         all.remove();
-      } else if (!worker.isHoldInFlight() && steady >= worker.nextHoldMillis()) {
+      } else if (worker.isHoldDue(steady)) {
         orders.add(hold(worker, steady));
       }
     }
@@ -163,7 +175,8 @@
     if (worker.isClockKnown() && worker.isGreeted() && !worker.isSilent()) {
       lease = leaseOn(worker, steady);
     }
-    boolean wait = worker.isGreeted() && worker.seenUpTo() == worker.notedUpTo();
+    boolean settled = worker.isGreeted() && !worker.isLifeInDoubt();
+    boolean wait = settled && worker.seenUpTo() == worker.notedUpTo();
     int longestWait = wait ? longestReportWait(worker) : 0;
     return new Order.Hold(worker, lease, worker.endsToForget(), longestWait, steady);
   }
@@ -246,6 +259,7 @@
     if (report.bornMillis() != 0 && report.bornMillis() != worker.bornMillis()) {
       reborn(worker, report, order.sentAtMillis(), steady, orders);
     } else {
+      worker.lifeReported();
       worker.forgot(order.notedUpTo());
     }
     worker.sampleClock(report.clockMillis(), steady);
--- a/core/src/test/java/org/lavenderstage/core/pool/RestartedClockTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RestartedClockTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,8 +15,7 @@
 
 /**
  * Workers restart in place, and are given orders that are made by the clock and the ends of their
- * former life. Each order reaches the life that it was sent to; no task runs twice. All in
- * KNOWN-RED.txt.
+ * former life. Each order reaches the life that it was sent to; no task runs twice.
  */
 class RestartedClockTest {
   private static final long SEED = 1;
@@ -45,7 +43,6 @@
    * new one's; the worker granted all that it grants, and the owner counted the lease as over.
    */
   @Test
-  @Tag("known-red")
   void aTaskDoesNotStartElsewhereWhileARestartedWorkerGrantsMoreThanItWasAsked() {
     PoolWorld world = worldThatHasRun(2, 200);
     world.workers.forEach(worker -> worker.longestLeaseMillis = LONG_LEASE_MILLIS);
@@ -63,7 +60,6 @@
    * took every copy for too late once its lease was over.
    */
   @Test
-  @Tag("known-red")
   void aTaskDoesNotStartElsewhereWhileARestartedWorkerHoldsItsStartBack() {
     PoolWorld world = worldThatHasRun(2, 200);
     restartAll(world);
@@ -88,7 +84,6 @@
    * that nobody had seen, and its task started again.
    */
   @Test
-  @Tag("known-red")
   void aRestartedWorkerIsNotToldToForgetEndsThatNobodyHasSeen() {
     PoolWorld world = worldThatHasRun(1, 200);
     world.submitRepeated(List.of(PoolWorld.step(1, 2_000, 100)), 0, 2, 300);
@@ -103,7 +98,6 @@
   /** The first of these cases, among random jobs, cuts and late orders. */
   @ParameterizedTest
   @ValueSource(longs = {226, 357, 362})
-  @Tag("known-red")
   void noTaskRunsTwiceWhereWorkersRestartInPlaceAndGrantLongLeases(long seed) {
     PoolWorld world =
         PoolFaults.play(seed, PoolFaults.of(Fault.LONG_LEASES, Fault.PROMPT_RESTART, Fault.CUT));
@@ -113,7 +107,6 @@
   /** The others of these cases, where the owner's process also stands still for a while. */
   @ParameterizedTest
   @ValueSource(longs = {379, 816, 1925})
-  @Tag("known-red")
   void noTaskRunsTwiceWhereWorkersRestartInPlaceWhileTheOwnerStandsStill(long seed) {
     PoolWorld world =
         PoolFaults.play(seed, PoolFaults.of(Fault.PROMPT_RESTART, Fault.STALLED_OWNER, Fault.CUT));
