Keep room from lasting tasks only where it is complete soon

Callers would see a lasting task that has never run wait beside room for it eight times over, for as long as a long batch task runs: an interrupted task that fits nowhere keeps the worker with most room, and lasting tasks that have never run may take nothing of it however far away the end of the short runs there is. Where the kept room is expected to be complete over two seconds later, a lasting task may take of it what fits there twice over: the interrupted one can't have that room now, and the users take 3 s beside so much room for lost work. What it takes is gone for good, so it goes there only where no other worker has room: without that cost, the new test in InterruptedTaskCostTest failed (the interrupted task never ran again), and it passes with it, as it did before this commit. Open: a run that is over its estimate is expected to end at once, so that room beside it is kept without end.

--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -48,12 +48,18 @@
   /** Utilization up to which a filling task is too light for the headroom to matter. */
   private static final double LIGHT = 0.015;
 
+  /** Cost of room that an interrupted task waits for, to a lasting one; more than all others. */
+  private static final long KEPT_COST = 10_000_000L;
+
   /** Standard deviations by which a pressure may be higher than believed. */
   private static final double CAUTION = 1.0;
 
   /** Largest part of the workers on which room is kept. */
   private static final double KEPT_SHARE = 0.25;
 
+  /** How long lasting tasks wait for kept room to be complete; less than their users take. */
+  private static final long LASTING_WAIT_MILLIS = 2_000;
+
   /** Room that is kept for a task that fits nowhere, and when the task is expected to fit. */
   private record KeptRoom(Resources room, boolean forInterrupted, long fitsAtMillis) {}
 
@@ -116,7 +122,7 @@
       if (fit == Fit.FITS) {
         Resources twice = Worker.demand(spec).plus(Worker.demand(spec));
         places += twice.fitsIn(worker.free()) ? 2 : 1;
-        long cost = cost(worker, task.step());
+        long cost = cost(worker, task.step()) + keptCost(worker, task);
         if (cost < least) {
           least = cost;
           best = worker;
@@ -269,7 +275,8 @@
    * Tells whether a task would take room that is kept. Where there is room for it twice over, it
    * may have it: no lasting task waits beside that much. Against an interrupted task this holds for
    * others that are interrupted only, or smaller ones would use up each piece before it is large
-   * enough. A short task that is expected to end before the room is complete may use it until then.
+   * enough. A short task that is expected to end before the room is complete may use it until then,
+   * and a lasting one is held to that rule only where the room is complete soon.
    */
   private boolean takesKept(Worker worker, Task task) {
     StepSpec spec = task.step().spec();
@@ -278,13 +285,25 @@
       return false;
     }
     Resources demand = Worker.demand(spec);
-    boolean mayShare = !room.forInterrupted() || task.isInterrupted(steadyMillis);
+    boolean isLate = room.fitsAtMillis() > steadyMillis + LASTING_WAIT_MILLIS;
+    boolean mayShare =
+        !room.forInterrupted() || task.isInterrupted(steadyMillis) || (spec.lasting() && isLate);
     boolean sharesRoom = mayShare && demand.plus(demand).fitsIn(worker.free());
     boolean endsBefore =
         !spec.lasting() && steadyMillis + spec.estimateMillis() <= room.fitsAtMillis();
     return !demand.plus(room.room()).fitsIn(worker.free()) && !sharesRoom && !endsBefore;
   }
 
+  /**
+   * What a lasting task takes is gone for good, so that one that never ran goes elsewhere first.
+   */
+  private long keptCost(Worker worker, Task task) {
+    KeptRoom room = kept.get(worker);
+    boolean takes =
+        room != null && room.forInterrupted() && task.step().spec().lasting() && !task.hasBegun();
+    return takes ? KEPT_COST : 0;
+  }
+
   private long cost(Worker worker, StepRun step) {
     StepSpec spec = step.spec();
     long cost = spec.filling() ? fillingCost(worker, spec) : reservingCost(worker, spec);
--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedTaskCostTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedTaskCostTest.java
@@ -82,6 +82,30 @@
     assertEquals(JobPhase.COMPLETED, urgent.phase(), () -> String.join("\n", world.history));
   }
 
+  /** What lasting tasks take of the room that is kept is gone for good. */
+  @Test
+  void anInterruptedTaskGetsItsRoomWhereALastingTaskThatNeverRanHasAnotherPlace() {
+    PoolWorld world = new PoolWorld(SEED, 3);
+    world.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
+    world.run(500);
+    Job large = world.submit(List.of(PoolWorld.lasting(1, 26_000)), 0);
+    world.run(200);
+    world.submit(List.of(PoolWorld.lasting(1, 18_000)), 0);
+    world.run(200);
+    world.submit(List.of(PoolWorld.step(1, 15_000, 5_000)), 2);
+    world.run(200);
+    TaskId interrupted = new TaskId(large.id(), 0, 0, 0);
+    SimulatedWorker first =
+        world.workers.stream().filter(w -> w.runs(interrupted)).findFirst().orElseThrow();
+    first.draining = true;
+    world.run(1_000);
+    Job small = world.submit(List.of(PoolWorld.lasting(1, 6_500)), 0);
+    world.run(6_000);
+    assertTrue(world.oracle.isRunning(new TaskId(small.id(), 0, 0, 0)));
+    assertTrue(world.oracle.isRunning(interrupted), () -> String.join("\n", world.history));
+    assertEquals(List.of(), world.oracle.broken, world::explanation);
+  }
+
   /** A task that was stopped just before a takeover goes before urgent ones that come steadily. */
   @Test
   void aTaskThatWasStoppedBeforeATakeoverRunsAgainThoughUrgentTasksComeSteadily() {
