--- a/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -269,11 +269,16 @@
 
   /** Keeps the only worker that does not leave for a task that needs more than it has free. */
   private void keepTheWholePoolForAnInterruptedTask() {
+    keepTheWholePoolForAnInterruptedTask(1);
+  }
+
+  private void keepTheWholePoolForAnInterruptedTask(int workOverEstimate) {
     begin(2, 32_000);
+    world.workers.forEach(worker -> worker.workOverEstimate = task -> workOverEstimate);
     Job large = world.submit(List.of(PoolWorld.lasting(1, 20_000)), 0);
     run(200);
     SimulatedWorker first = placeOf(tasks(large).get(0));
-    world.submit(List.of(PoolWorld.step(1, 15_000, 60_000)), 2);
+    world.submit(List.of(PoolWorld.step(1, 15_000, 60_000 / workOverEstimate)), 2);
     run(200);
     first.draining = true;
     run(1_000);
@@ -290,6 +295,16 @@
     assertNothingLost();
   }
 
+  /** A run that is over its estimate is expected to end at once, however long it goes on. */
+  @Test
+  @Tag("known-red")
+  void aLastingTaskThatNeverRanRunsBesideRoomKeptUntilARunOverItsEstimateEnds() {
+    keepTheWholePoolForAnInterruptedTask(60);
+    watch(PoolWorld.lasting(1, 2_000), 0);
+    run(10_000);
+    assertNothingLost();
+  }
+
   /** A lasting task that may not have kept room takes it from short ones of its shape as well. */
   @Test
   void aShortTaskRunsBesideALastingOneOfItsShapeThatHasNoPlace() {
