--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +26,33 @@
   /** How long lasting tasks leave the last place free after urgent ones have lacked room. */
   private static final long SPARING_MILLIS = 10_000;
 
+  /**
+   * All that the search for a place depends on but the estimate. Room only shrinks in a round, so
+   * what was found for one task holds for later ones of its shape that are expected to run as long.
+   */
+  private record Shape(
+      Resources demand,
+      boolean filling,
+      int cpuMillis,
+      boolean lasting,
+      boolean begun,
+      String requiredLabel,
+      String image,
+      String service) {
+    static Shape of(Task task) {
+      StepSpec spec = task.step().spec();
+      return new Shape(
+          Worker.demand(spec),
+          spec.filling(),
+          spec.cpuMillis(),
+          spec.lasting(),
+          task.hasBegun(),
+          spec.requiredLabel(),
+          spec.image(),
+          task.step().job().rules().service());
+    }
+  }
+
   private final JobTable jobs;
   private final WorkerTable workers;
   private final RunTracker runs;
@@ -34,7 +60,7 @@
   private final FillPressure pressure;
   private final DecisionLog log;
   private final int firstAttempt;
-  private long sparingUntil = Long.MIN_VALUE;
+  private final Map<WorkerChoice.Claim, Long> sparingUntil = new HashMap<>();
   private final Deferrals deferrals;
   private final JobWaits waits;
   private int turn;
@@ -65,9 +91,10 @@
     deferrals.beginRound();
     waits.beginRound();
     turn = 0;
-    boolean sparing = steady < sparingUntil;
-    WorkerChoice choice = new WorkerChoice(workers.all(), pressure, sparing, steady);
-    Set<Object> refused = new HashSet<>();
+    sparingUntil.values().removeIf(until -> until <= steady);
+    WorkerChoice choice =
+        new WorkerChoice(workers.all(), pressure, Set.copyOf(sparingUntil.keySet()), steady);
+    Map<Shape, Long> refused = new HashMap<>();
     for (Job job : order.sorted(jobs, steady)) {
       if (!job.isActive()) {
         continue;
@@ -84,7 +111,7 @@
   private void place(
       StepRun step,
       WorkerChoice choice,
-      Set<Object> refused,
+      Map<Shape, Long> refused,
       boolean inheritanceOpen,
       long steady) {
     List<Task> waiting = new ArrayList<>();
@@ -120,7 +147,7 @@
   }
 
   private void placeInterrupted(
-      List<Task> interrupted, WorkerChoice choice, Set<Object> refused, long steady) {
+      List<Task> interrupted, WorkerChoice choice, Map<Shape, Long> refused, long steady) {
     for (Task task : interrupted) {
       if (!placeOne(task, choice, refused, steady) && !choice.keepPlaceForInterrupted(task)) {
         return;
@@ -128,17 +155,10 @@
     }
   }
 
-  private boolean placeOne(Task task, WorkerChoice choice, Set<Object> refused, long steady) {
+  private boolean placeOne(Task task, WorkerChoice choice, Map<Shape, Long> refused, long steady) {
     StepSpec spec = task.step().spec();
-    Object shape =
-        List.of(
-            Worker.demand(spec),
-            spec.filling(),
-            spec.cpuMillis(),
-            spec.requiredLabel(),
-            spec.image(),
-            task.step().job().rules().service());
-    if (refused.contains(shape)) {
+    Shape shape = Shape.of(task);
+    if (spec.estimateMillis() > refused.getOrDefault(shape, Long.MAX_VALUE)) {
       waits.deferred(task, turn, () -> choice.fits(task), steady);
       return false;
     }
@@ -152,12 +172,12 @@
     waits.deferred(task, turn, () -> choice.fits(task), steady);
     deferrals.deferred(task, search, steady);
     if (spec.maxPerWorker() == 0) {
-      refused.add(shape);
+      refused.put(shape, search instanceof PlaceSearch.NoRoom none ? none.placeForMillis() : -1L);
     }
     if (!spec.filling() && !spec.lasting()) {
       boolean willFit = choice.keepPlaceFor(task);
       if (willFit && task.step().job().rules().priority() == 0) {
-        sparingUntil = steady + SPARING_MILLIS;
+        sparingUntil.put(WorkerChoice.Claim.of(task), steady + SPARING_MILLIS);
       }
     }
     makeRoom(task, choice, steady);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -48,21 +48,36 @@
   /** Utilization up to which a filling task is too light for the headroom to matter. */
   private static final double LIGHT = 0.015;
 
+  /** Cost of room that an interrupted task waits for, to a lasting one; more than all others. */
+  private static final long KEPT_COST = 10_000_000L;
+
   /** Standard deviations by which a pressure may be higher than believed. */
   private static final double CAUTION = 1.0;
 
   /** Largest part of the workers on which room is kept. */
   private static final double KEPT_SHARE = 0.25;
 
+  /** How long lasting tasks wait for kept room to be complete; less than their users take. */
+  private static final long LASTING_WAIT_MILLIS = 2_000;
+
   /** Room that is kept for a task that fits nowhere, and when the task is expected to fit. */
   private record KeptRoom(Resources room, boolean forInterrupted, long fitsAtMillis) {}
 
+  /** What a task needs from a worker. */
+  record Claim(Resources demand, String service, String requiredLabel) {
+    static Claim of(Task task) {
+      StepSpec spec = task.step().spec();
+      return new Claim(
+          Worker.demand(spec), task.step().job().rules().service(), spec.requiredLabel());
+    }
+  }
+
   private final Map<Worker, KeptRoom> kept = new HashMap<>();
   private final Map<Worker, Resources> finalRooms = new HashMap<>();
 
   private final Collection<Worker> workers;
   private final long steadyMillis;
-  private final boolean sparing;
+  private final Collection<Claim> lackedRoom;
   private final FillPressure pressure;
   private final Map<Worker, ServingState> servingStates = new HashMap<>();
 
@@ -77,14 +92,18 @@
    *
    * @param workers all workers
    * @param pressure what fillers press on serving tasks
-   * @param sparing whether urgent tasks lack room, so that lasting ones leave them the last place
+   * @param lackedRoom what urgent tasks need that lacked room; lasting ones leave them the last
+   *     place
    * @param steadyMillis steady time
    */
   WorkerChoice(
-      Collection<Worker> workers, FillPressure pressure, boolean sparing, long steadyMillis) {
+      Collection<Worker> workers,
+      FillPressure pressure,
+      Collection<Claim> lackedRoom,
+      long steadyMillis) {
     this.workers = workers;
     this.pressure = pressure;
-    this.sparing = sparing;
+    this.lackedRoom = lackedRoom;
     this.steadyMillis = steadyMillis;
   }
 
@@ -93,12 +112,17 @@
     Worker best = null;
     long least = Long.MAX_VALUE;
     int places = 0;
+    long placeForMillis = -1;
     StepSpec spec = task.step().spec();
     for (Worker worker : workers) {
-      if (fit(worker, task) == Fit.FITS) {
+      Fit fit = fit(worker, task);
+      if (fit == Fit.KEPT && !spec.lasting()) {
+        placeForMillis = Math.max(placeForMillis, kept.get(worker).fitsAtMillis() - steadyMillis);
+      }
+      if (fit == Fit.FITS) {
         Resources twice = Worker.demand(spec).plus(Worker.demand(spec));
         places += twice.fitsIn(worker.free()) ? 2 : 1;
-        long cost = cost(worker, task.step());
+        long cost = cost(worker, task.step()) + keptCost(worker, task);
         if (cost < least) {
           least = cost;
           best = worker;
@@ -106,12 +130,35 @@
       }
     }
     if (best == null) {
-      return new PlaceSearch.NoRoom();
+      return new PlaceSearch.NoRoom(placeForMillis);
     }
-    boolean spared = sparing && spec.lasting() && !task.hasBegun() && places < 2;
+    boolean spared = spec.lasting() && !task.hasBegun() && places < 2 && servesClaim(best);
     return spared ? new PlaceSearch.Withheld() : new PlaceSearch.Found(best);
   }
 
+  /** Tells whether an urgent task that lacked room fits on a worker, or will. */
+  private boolean servesClaim(Worker worker) {
+    if (lackedRoom.isEmpty()) {
+      return false;
+    }
+    Resources room = finalRoom(worker);
+    WorkerListing listing = worker.listing().orElseThrow();
+    return lackedRoom.stream()
+        .anyMatch(
+            claim ->
+                claim.demand().fitsIn(room)
+                    && isOf(listing, claim.service(), claim.requiredLabel()));
+  }
+
+  private Resources finalRoom(Worker worker) {
+    return finalRooms.computeIfAbsent(worker, RoomForecast::finalRoom);
+  }
+
+  private static boolean isOf(WorkerListing listing, String service, String requiredLabel) {
+    return listing.service().equals(service)
+        && (requiredLabel.isEmpty() || listing.labels().contains(requiredLabel));
+  }
+
   /** Notes that a run was added to a worker. */
   void placedOn(Worker worker) {
     servingStates.remove(worker);
@@ -183,8 +230,7 @@
     Resources demand = Worker.demand(task.step().spec());
     return workers.stream()
         .filter(worker -> !kept.containsKey(worker) && isAllowed(worker, task))
-        .filter(
-            worker -> demand.fitsIn(finalRooms.computeIfAbsent(worker, RoomForecast::finalRoom)))
+        .filter(worker -> demand.fitsIn(finalRoom(worker)))
         .max(Comparator.comparingInt(worker -> worker.free().cpuMillis()));
   }
 
@@ -196,8 +242,7 @@
       return false;
     }
     WorkerListing listing = worker.listing().orElseThrow();
-    return listing.service().equals(step.job().rules().service())
-        && (spec.requiredLabel().isEmpty() || listing.labels().contains(spec.requiredLabel()))
+    return isOf(listing, step.job().rules().service(), spec.requiredLabel())
         && (spec.maxPerWorker() == 0 || worker.countOf(step) < spec.maxPerWorker())
         && task.runs().stream().noneMatch(run -> run.worker().equals(worker.id()));
   }
@@ -230,7 +275,8 @@
    * Tells whether a task would take room that is kept. Where there is room for it twice over, it
    * may have it: no lasting task waits beside that much. Against an interrupted task this holds for
    * others that are interrupted only, or smaller ones would use up each piece before it is large
-   * enough. A short task that is expected to end before the room is complete may use it until then.
+   * enough. A short task that is expected to end before the room is complete may use it until then,
+   * and a lasting one is held to that rule only where the room is complete soon.
    */
   private boolean takesKept(Worker worker, Task task) {
     StepSpec spec = task.step().spec();
@@ -239,13 +285,25 @@
       return false;
     }
     Resources demand = Worker.demand(spec);
-    boolean mayShare = !room.forInterrupted() || task.isInterrupted(steadyMillis);
+    boolean isLate = room.fitsAtMillis() > steadyMillis + LASTING_WAIT_MILLIS;
+    boolean mayShare =
+        !room.forInterrupted() || task.isInterrupted(steadyMillis) || (spec.lasting() && isLate);
     boolean sharesRoom = mayShare && demand.plus(demand).fitsIn(worker.free());
     boolean endsBefore =
         !spec.lasting() && steadyMillis + spec.estimateMillis() <= room.fitsAtMillis();
     return !demand.plus(room.room()).fitsIn(worker.free()) && !sharesRoom && !endsBefore;
   }
 
+  /**
+   * What a lasting task takes is gone for good, so that one that never ran goes elsewhere first.
+   */
+  private long keptCost(Worker worker, Task task) {
+    KeptRoom room = kept.get(worker);
+    boolean takes =
+        room != null && room.forInterrupted() && task.step().spec().lasting() && !task.hasBegun();
+    return takes ? KEPT_COST : 0;
+  }
+
   private long cost(Worker worker, StepRun step) {
     StepSpec spec = step.spec();
     long cost = spec.filling() ? fillingCost(worker, spec) : reservingCost(worker, spec);
