--- a/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
@@ -51,24 +51,8 @@
 
   private static StepSpec filling(int count, int cpuMillis, String image) {
     return new StepSpec(
-        count,
-        cpuMillis,
-        1_000,
-        0,
-        1_000,
-        List.of(),
-        true,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        image,
-        0,
-        true,
-        0);
+        count, cpuMillis, 1_000, 0, 1_000, List.of(), true, false, false, "", "", 0, false, false,
+        image, 0, true, 0);
   }
 
   private static PoolWorld world(int workers, SimulatedInterference model) {
