--- a/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
@@ -115,7 +115,7 @@
   void jobsOfOneSizeKeepTheirOrder() {
     List<Job> jobs = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
-      jobs.add(submit(4, 4_000, START + 50 * i, 0));
+      jobs.add(submit(4, 4_000, START + 50L * i, 0));
     }
     for (Job job : jobs.subList(0, 8)) {
       complete(job, START + 4_000);
