--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -60,7 +60,7 @@
   private final FillPressure pressure;
   private final DecisionLog log;
   private final int firstAttempt;
-  private final Map<WorkerChoice.Claim, Long> sparingUntil = new HashMap<>();
+  private final Map<WorkerChoice.Need, Long> sparingUntil = new HashMap<>();
   private final Deferrals deferrals;
   private final JobWaits waits;
   private int turn;
@@ -177,7 +177,7 @@
     if (!spec.filling() && !spec.lasting()) {
       boolean willFit = choice.keepPlaceFor(task);
       if (willFit && task.step().job().rules().priority() == 0) {
-        sparingUntil.put(WorkerChoice.Claim.of(task), steady + SPARING_MILLIS);
+        sparingUntil.put(WorkerChoice.Need.of(task), steady + SPARING_MILLIS);
       }
     }
     makeRoom(task, choice, steady);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerChoice.java
@@ -64,10 +64,10 @@
   private record KeptRoom(Resources room, boolean forInterrupted, long fitsAtMillis) {}
 
   /** What a task needs from a worker. */
-  record Claim(Resources demand, String service, String requiredLabel) {
-    static Claim of(Task task) {
+  record Need(Resources demand, String service, String requiredLabel) {
+    static Need of(Task task) {
       StepSpec spec = task.step().spec();
-      return new Claim(
+      return new Need(
           Worker.demand(spec), task.step().job().rules().service(), spec.requiredLabel());
     }
   }
@@ -77,7 +77,7 @@
 
   private final Collection<Worker> workers;
   private final long steadyMillis;
-  private final Collection<Claim> lackedRoom;
+  private final Collection<Need> lackedRoom;
   private final FillPressure pressure;
   private final Map<Worker, ServingState> servingStates = new HashMap<>();
 
@@ -99,7 +99,7 @@
   WorkerChoice(
       Collection<Worker> workers,
       FillPressure pressure,
-      Collection<Claim> lackedRoom,
+      Collection<Need> lackedRoom,
       long steadyMillis) {
     this.workers = workers;
     this.pressure = pressure;
@@ -132,12 +132,12 @@
     if (best == null) {
       return new PlaceSearch.NoRoom(placeForMillis);
     }
-    boolean spared = spec.lasting() && !task.hasBegun() && places < 2 && servesClaim(best);
+    boolean spared = spec.lasting() && !task.hasBegun() && places < 2 && servesNeed(best);
     return spared ? new PlaceSearch.Withheld() : new PlaceSearch.Found(best);
   }
 
   /** Tells whether an urgent task that lacked room fits on a worker, or will. */
-  private boolean servesClaim(Worker worker) {
+  private boolean servesNeed(Worker worker) {
     if (lackedRoom.isEmpty()) {
       return false;
     }
@@ -145,9 +145,8 @@
     WorkerListing listing = worker.listing().orElseThrow();
     return lackedRoom.stream()
         .anyMatch(
-            claim ->
-                claim.demand().fitsIn(room)
-                    && isOf(listing, claim.service(), claim.requiredLabel()));
+            need ->
+                need.demand().fitsIn(room) && isOf(listing, need.service(), need.requiredLabel()));
   }
 
   private Resources finalRoom(Worker worker) {
