--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -211,7 +211,7 @@
       case Order.StopStray stray -> {
         // The next report shows whether a run that was there is gone; one that may yet come is not
         // in it.
-        boolean mayCome = stray.worker().openStarts(steady).containsKey(stray.task());
+        boolean mayCome = stray.worker().openOrders().starts(steady).containsKey(stray.task());
         if (result instanceof OrderResult.Unanswered && mayCome) {
           ready.add(stray);
         }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -59,7 +59,7 @@
   /** Takes the answer to the order to start a run. */
   void startEnded(Worker worker, Run run, OrderResult result, long steady) {
     if (result instanceof OrderResult.Unanswered) {
-      worker.startLeftOpen(run.task().id(), run.attempt(), steady);
+      worker.openOrders().startLeftOpen(run.task().id(), run.attempt(), steady);
       run.startUnanswered();
     }
     run.orderEnded(steady + REPEAT_MILLIS);
@@ -369,13 +369,13 @@
    * to forget ends is open in the same way, the worker gets no runs until that has passed.
    */
   void reborn(Worker worker, WorkerReport report, long sentAt, long steady, List<Order> orders) {
-    Map<TaskId, Worker.OpenStart> open = worker.openStarts(steady);
-    boolean forgets = worker.forgettingOpenUntil() > steady;
+    Map<TaskId, OpenOrders.Start> open = worker.openOrders().starts(steady);
+    boolean forgets = worker.openOrders().forgettingUntil() > steady;
     if (forgets) {
-      worker.block(worker.forgettingOpenUntil());
+      worker.block(worker.openOrders().forgettingUntil());
     }
     for (Run run : worker.runs()) {
-      Worker.OpenStart start = open.get(run.task().id());
+      OpenOrders.Start start = open.get(run.task().id());
       boolean mayStart = start != null && start.attempt() == run.attempt();
       boolean startedSince =
           run.stateSinceMillis() >= sentAt || report.names(run.task().id(), run.attempt());
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -16,15 +16,11 @@
  * may be on it. Only the owner's thread uses it.
  */
 public final class Worker {
-  /** Longest time after which a lost order is still carried out, in milliseconds; seen: 12 s. */
-  private static final long LONGEST_DELAY_MILLIS = 15_000;
-
   private final String id;
   private String address;
   private Optional<WorkerListing> listing = Optional.empty();
   private final Map<TaskId, List<Run>> runs = new HashMap<>();
-  private final Map<TaskId, OpenStart> openStarts = new HashMap<>();
-  private long forgettingOpenUntil;
+  private final OpenOrders openOrders = new OpenOrders();
   private Resources used = Resources.NONE;
   private int fillingCpuMillis;
   private int fillingCount;
@@ -398,30 +394,10 @@
     count(spec, -1);
   }
 
-  /** Notes that a start got no answer, so that a copy of it may still be carried out later. */
-  void startLeftOpen(TaskId task, int attempt, long steadyMillis) {
-    openStarts.put(task, new OpenStart(attempt, steadyMillis));
-  }
-
-  /** Returns the starts that got no answer and may still be carried out. */
-  Map<TaskId, OpenStart> openStarts(long steadyMillis) {
-    openStarts.values().removeIf(open -> steadyMillis - open.sinceMillis > LONGEST_DELAY_MILLIS);
-    return openStarts;
-  }
-
-  /** Notes that an order to forget ends got no answer; a copy may reach another life's ends. */
-  void forgettingLeftOpen(long steadyMillis) {
-    forgettingOpenUntil = steadyMillis + LONGEST_DELAY_MILLIS;
-  }
-
-  /** Returns the steady time until which an order to forget ends may still be carried out. */
-  long forgettingOpenUntil() {
-    return forgettingOpenUntil;
+  OpenOrders openOrders() {
+    return openOrders;
   }
 
-  /** A start without an answer. */
-  record OpenStart(int attempt, long sinceMillis) {}
-
   /** Returns what a task takes away from the capacity; filling tasks take no processors. */
   static Resources demand(StepSpec spec) {
     return new Resources(
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -134,7 +134,8 @@
       if (leaseOver && worker.isSilent() && !worker.isIdle()) {
         loseAll(worker, "lease over");
       }
-      boolean empty = worker.isGreeted() && worker.isIdle() && worker.openStarts(steady).isEmpty();
+      boolean empty =
+          worker.isGreeted() && worker.isIdle() && worker.openOrders().starts(steady).isEmpty();
       if ((leaseOver || empty) && worker.isSilent() && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         forget(worker);
@@ -151,7 +152,8 @@
    */
   private void retireIfEmpty(Worker worker, long steady) {
     boolean told = worker.isLifeStored() && worker.hasForgottenAllEnds();
-    boolean empty = worker.isGreeted() && worker.isIdle() && worker.openStarts(steady).isEmpty();
+    boolean empty =
+        worker.isGreeted() && worker.isIdle() && worker.openOrders().starts(steady).isEmpty();
     if (told && empty && !worker.isSilent() && !unstored.contains(worker)) {
       worker.retire(true);
       removals.add(StoredChange.dropWorker(worker.id()));
@@ -224,7 +226,7 @@
         // once.
         worker.holdEnded(false, wasSilent ? steady + RETRY_MILLIS : steady);
         if (order.notedUpTo() > 0) {
-          worker.forgettingLeftOpen(steady);
+          worker.openOrders().forgettingLeftOpen(steady);
         }
         if (!wasSilent) {
           log.record(
@@ -314,7 +316,7 @@
         "lease-over-in",
         worker.leaseOverMillis() - steady,
         "paused-ms",
-        Math.max(0, worker.forgettingOpenUntil() - steady));
+        Math.max(0, worker.openOrders().forgettingUntil() - steady));
     runs.reborn(worker, report, sentAt, steady, orders);
   }
 
