--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -169,6 +169,19 @@
     return unansweredStarts;
   }
 
+  /**
+   * Tells whether the worker's next report decides about the run.
+   *
+   * @return whether it was to start or to stop and what became of that is not known
+   */
+  public boolean isUnsettled() {
+    return switch (state) {
+      case RUNNING -> false;
+      case STARTING -> unansweredStarts > 0;
+      case STOPPING, DOUBTFUL -> true;
+    };
+  }
+
   /** Notes that an order was sent. */
   public void orderSent() {
     callInFlight = true;
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -324,15 +324,7 @@
 
   /** Tells whether the next report decides about a run that was to start or to stop. */
   boolean hasUnsettledRuns() {
-    return runs.values().stream().flatMap(List::stream).anyMatch(Worker::isUnsettled);
-  }
-
-  private static boolean isUnsettled(Run run) {
-    return switch (run.state()) {
-      case RUNNING -> false;
-      case STARTING -> run.unansweredStarts() > 0;
-      case STOPPING, DOUBTFUL -> true;
-    };
+    return runs.values().stream().flatMap(List::stream).anyMatch(Run::isUnsettled);
   }
 
   /**
