Ask in one place whether a serving task is over its target, and whether a worker is empty

FillGuard and WorkerTable each compared the load with the target, and WorkerTable had the test for an empty worker twice. No behaviour changes.

--- a/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FillGuard.java
@@ -110,6 +110,12 @@
     return shares;
   }
 
+  /** Tells whether a task that serves users was over its target in the last report. */
+  static boolean isOverTarget(Run run) {
+    StepSpec spec = run.task().step().spec();
+    return Worker.serves(spec) && run.load() > spec.tailTargetMillis();
+  }
+
   private boolean isOverForLong(Run serving, boolean over, long steady) {
     if (!over) {
       overSince.remove(serving);
@@ -121,7 +127,7 @@
   /** Lowers the shares of the fillers that press hardest until a serving task is in its target. */
   private void restrain(Run serving, Worker worker, Map<Run, Double> shares, long steady) {
     StepSpec spec = serving.task().step().spec();
-    boolean over = serving.load() > spec.tailTargetMillis();
+    boolean over = isOverTarget(serving);
     if (isOverForLong(serving, over, steady)) {
       // A queue near its limit shows a tail, not by how much it is overloaded.
       shares.replaceAll((run, share) -> 0.0);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -9,8 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.lavenderstage.core.job.Run;
-import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.WorkerRecord;
 
@@ -134,9 +132,9 @@
       if (leaseOver && worker.isSilent() && !worker.isIdle()) {
         loseAll(worker, "lease over");
       }
-      boolean empty =
-          worker.isGreeted() && worker.isIdle() && worker.openOrders().starts(steady).isEmpty();
-      if ((leaseOver || empty) && worker.isSilent() && worker.listing().isEmpty()) {
+      if ((leaseOver || isEmpty(worker, steady))
+          && worker.isSilent()
+          && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         forget(worker);
         all.remove();
@@ -152,14 +150,17 @@
    */
   private void retireIfEmpty(Worker worker, long steady) {
     boolean told = worker.isLifeStored() && worker.hasForgottenAllEnds();
-    boolean empty =
-        worker.isGreeted() && worker.isIdle() && worker.openOrders().starts(steady).isEmpty();
-    if (told && empty && !worker.isSilent() && !unstored.contains(worker)) {
+    if (told && isEmpty(worker, steady) && !worker.isSilent() && !unstored.contains(worker)) {
       worker.retire(true);
       removals.add(StoredChange.dropWorker(worker.id()));
     }
   }
 
+  /** Tells whether nothing runs on a worker, nor can start by an order that is still open. */
+  private static boolean isEmpty(Worker worker, long steady) {
+    return worker.isGreeted() && worker.isIdle() && worker.openOrders().starts(steady).isEmpty();
+  }
+
   private void forget(Worker worker) {
     unstored.remove(worker);
     if (worker.mayHaveRecord()) {
@@ -190,15 +191,10 @@
     boolean over =
         worker.fillingCount() > 0
             && worker.isServing()
-            && worker.runs().stream().anyMatch(WorkerTable::isOverTarget);
+            && worker.runs().stream().anyMatch(FillGuard::isOverTarget);
     return over ? OVER_TARGET_WAIT_MILLIS : REPORT_WAIT_MILLIS;
   }
 
-  private static boolean isOverTarget(Run run) {
-    StepSpec spec = run.task().step().spec();
-    return Worker.serves(spec) && run.load() > spec.tailTargetMillis();
-  }
-
   /** Returns the end of a new lease on the worker's clock. */
   long leaseOn(Worker worker, long steady) {
     worker.leaseMayLastUntil(steady + timing.longestLeaseMillis());
