Let a shape name its need, and reserve room beside where it is released

Placement.Shape repeated the fields of WorkerChoice.Need, its reserve did most of RunTracker.track, and a gang that is incomplete or has no room noted its wait in two places. No behaviour changes.

--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -31,25 +31,21 @@
    * what was found for one task holds for later ones of its shape that are expected to run as long.
    */
   private record Shape(
-      Resources demand,
+      WorkerChoice.Need need,
       boolean filling,
       int cpuMillis,
       boolean lasting,
       boolean begun,
-      String requiredLabel,
-      String image,
-      String service) {
+      String image) {
     static Shape of(Task task) {
       StepSpec spec = task.step().spec();
       return new Shape(
-          Worker.demand(spec),
+          WorkerChoice.Need.of(task),
           spec.filling(),
           spec.cpuMillis(),
           spec.lasting(),
           task.hasBegun(),
-          spec.requiredLabel(),
-          spec.image(),
-          task.step().job().rules().service());
+          spec.image());
     }
   }
 
@@ -190,11 +186,8 @@
    */
   private void placeGang(StepRun step, List<Task> waiting, WorkerChoice choice, long steady) {
     Task first = waiting.get(0);
-    if (waiting.size() < step.tasks().size() || !mayHaveRoom(waiting, choice)) {
-      waits.deferred(first, turn, () -> choice.fits(first), steady);
-      return;
-    }
-    List<Run> reserved = reserveAll(waiting, choice, steady);
+    boolean mayStart = waiting.size() == step.tasks().size() && mayHaveRoom(waiting, choice);
+    List<Run> reserved = mayStart ? reserveAll(waiting, choice, steady) : List.of();
     for (Run run : reserved) {
       Worker worker = workers.find(run.worker()).orElseThrow();
       RunTracker.release(worker, run);
@@ -244,8 +237,7 @@
   /** Takes the room of a run that is not ordered; attempt 0 is none, so that none is used up. */
   private static Run reserve(Task task, Worker worker, long steady) {
     Run run = new Run(task, 0, worker.id(), Run.State.STARTING, steady);
-    task.runs().add(run);
-    worker.add(run);
+    RunTracker.reserve(worker, run);
     return run;
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -411,8 +411,13 @@
 
   /** Keeps account of a run from now on. */
   static void track(Worker worker, Run run) {
-    run.task().runs().add(run);
+    reserve(worker, run);
     run.task().step().job().begin();
+  }
+
+  /** Takes the room of a run that need not have been ordered; {@link #release} gives it back. */
+  static void reserve(Worker worker, Run run) {
+    run.task().runs().add(run);
     worker.add(run);
   }
 
