Collect candidates for turns only where a review is due, and size each job once

Each round of placement, twenty a second, listed the candidates of a review that runs four times a second; a review computed the work of a job anew for each comparison of its sort. The time of the last review tells the first one, which had a flag of its own.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobOrder.java
@@ -51,12 +51,11 @@
       ranked.add(rank(job, steadyMillis));
     }
     ranked.sort(Ranked.BY_NEED);
-    List<Job> candidates = ranked.stream().filter(Ranked::mayGetTurn).map(Ranked::job).toList();
-    turns.review(
-        jobs.all(),
-        candidates,
-        job -> steadyMillis - job.receivedAtMillis() <= earningMillis(job.record()),
-        steadyMillis);
+    turns.end(steadyMillis);
+    if (turns.isReviewDue(steadyMillis)) {
+      List<Job> candidates = ranked.stream().filter(Ranked::mayGetTurn).map(Ranked::job).toList();
+      turns.review(jobs.all(), candidates, steadyMillis);
+    }
     ranked.sort(Ranked.BY_GROUP.thenComparing(r -> !turns.isTurnOf(r.job())));
     return ranked.stream().map(Ranked::job).toList();
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/JobTurns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTurns.java
@@ -8,8 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
 
@@ -47,44 +48,56 @@
   /** Jobs that have ended, with whether they earned; those of a former owner count as earning. */
   private Map<Job, Boolean> earned = Map.of();
 
-  private boolean reviewedBefore;
-  private long reviewedAtMillis = Long.MIN_VALUE / 2;
+  private OptionalLong reviewedAtMillis = OptionalLong.empty();
+
+  /** A job with its work in core-milliseconds. */
+  private record Sized(Job job, double work) {}
 
   /** Tells whether a job has its turn. */
   boolean isTurnOf(Job job) {
     return turns.contains(job);
   }
 
+  /** Ends the turns of jobs that have ended or earn nothing any more. */
+  void end(long steadyMillis) {
+    turns.removeIf(job -> job.phase() != JobPhase.ACTIVE || !earns(job, steadyMillis));
+  }
+
+  /** Tells whether it is time for another review. */
+  boolean isReviewDue(long steadyMillis) {
+    return reviewedAtMillis.isEmpty()
+        || steadyMillis - reviewedAtMillis.getAsLong() >= REVIEW_MILLIS;
+  }
+
   /**
-   * Ends turns that are over, and gives new ones at most four times a second.
+   * Gives new turns.
    *
    * @param known all jobs, also those that have ended lately
    * @param candidates batch jobs that can still be in time, the one that gains most first
-   * @param earns whether a job can still earn anything
    */
-  void review(
-      Collection<Job> known, List<Job> candidates, Predicate<Job> earns, long steadyMillis) {
-    turns.removeIf(job -> job.phase() != JobPhase.ACTIVE || !earns.test(job));
-    if (steadyMillis - reviewedAtMillis < REVIEW_MILLIS) {
-      return;
-    }
-    reviewedAtMillis = steadyMillis;
+  void review(Collection<Job> known, List<Job> candidates, long steadyMillis) {
+    boolean first = reviewedAtMillis.isEmpty();
+    reviewedAtMillis = OptionalLong.of(steadyMillis);
     Map<Job, Boolean> ended = new HashMap<>();
-    Map<String, List<Job>> byQueue = new HashMap<>();
+    Map<String, List<Sized>> byQueue = new HashMap<>();
     for (Job job : known) {
-      if (isRecent(job, steadyMillis) && counts(job)) {
-        byQueue.computeIfAbsent(job.rules().queue(), key -> new ArrayList<>()).add(job);
+      Sized sized = new Sized(job, JobOrder.work(job.record()));
+      if (isRecent(job, steadyMillis) && counts(sized)) {
+        byQueue.computeIfAbsent(job.rules().queue(), key -> new ArrayList<>()).add(sized);
         if (job.phase() == JobPhase.COMPLETED) {
-          boolean inTime = !reviewedBefore || earns.test(job);
+          boolean inTime = first || earns(job, steadyMillis);
           ended.put(job, earned.getOrDefault(job, inTime));
         }
       }
     }
     earned = ended;
-    reviewedBefore = true;
     byQueue.values().forEach(jobs -> reviewQueue(jobs, candidates));
   }
 
+  private static boolean earns(Job job, long steadyMillis) {
+    return steadyMillis - job.receivedAtMillis() <= JobOrder.earningMillis(job.record());
+  }
+
   private static boolean isRecent(Job job, long steadyMillis) {
     long earning = JobOrder.earningMillis(job.record());
     return steadyMillis - job.receivedAtMillis()
@@ -92,18 +105,19 @@
   }
 
   /** Tells whether a job is owed to its caller and has a size. */
-  private static boolean counts(Job job) {
+  private static boolean counts(Sized sized) {
+    Job job = sized.job();
     boolean owed = job.phase() == JobPhase.ACTIVE || job.phase() == JobPhase.COMPLETED;
-    return owed && job.record().repeatCount() == 0 && work(job) > 0;
+    return owed && job.record().repeatCount() == 0 && sized.work() > 0;
   }
 
-  private void reviewQueue(List<Job> jobs, List<Job> candidates) {
-    jobs.sort(Comparator.comparingDouble(JobTurns::work));
+  private void reviewQueue(List<Sized> jobs, List<Job> candidates) {
+    jobs.sort(Comparator.comparingDouble(Sized::work));
     double least = LEAST_SHARE * servedShare(jobs);
     int from = 0;
     for (double size : SIZES) {
       int to = endOfSize(jobs, Math.max(from, (int) Math.round(size * jobs.size())));
-      List<Job> ofSize = jobs.subList(from, to);
+      List<Sized> ofSize = jobs.subList(from, to);
       if (servedShare(ofSize) < least) {
         next(ofSize, candidates).ifPresent(turns::add);
       }
@@ -112,27 +126,26 @@
   }
 
   /** Moves the end of a size behind jobs of equal work, which are of one size. */
-  private static int endOfSize(List<Job> jobs, int end) {
+  private static int endOfSize(List<Sized> jobs, int end) {
     int moved = end;
-    while (moved > 0 && moved < jobs.size() && work(jobs.get(moved)) == work(jobs.get(moved - 1))) {
+    while (moved > 0
+        && moved < jobs.size()
+        && jobs.get(moved).work() == jobs.get(moved - 1).work()) {
       moved++;
     }
     return moved;
   }
 
-  private static double work(Job job) {
-    return JobOrder.work(job.record());
-  }
-
-  private Optional<Job> next(List<Job> ofSize, List<Job> candidates) {
-    Set<Job> wanted = new HashSet<>(ofSize);
+  private Optional<Job> next(List<Sized> ofSize, List<Job> candidates) {
+    Set<Job> wanted = ofSize.stream().map(Sized::job).collect(Collectors.toSet());
     return candidates.stream()
         .filter(job -> wanted.contains(job) && !turns.contains(job))
         .findFirst();
   }
 
-  private double servedShare(List<Job> jobs) {
-    return jobs.stream().filter(this::isServed).count() / Math.max(1.0, jobs.size());
+  private double servedShare(List<Sized> jobs) {
+    long served = jobs.stream().filter(sized -> isServed(sized.job())).count();
+    return served / Math.max(1.0, jobs.size());
   }
 
   /** Tells whether a job has ended while it earned, or has its turn. */
