Build the steps of tests in one place

Eleven tests of core spelled out the eighteen fields of a step, mostly a serving or a filling one; PoolWorld held five more factories. Steps builds them now, with the same values. The set-up of a world with the platform's delays and the holding back of a first start stood twice and are one each. No assertion, bound or seed is changed.

--- a/core/src/test/java/org/lavenderstage/core/pool/BatchSharesTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/BatchSharesTest.java
@@ -128,49 +128,20 @@
   }
 
   private static StepSpec serving(String image) {
-    return new StepSpec(
-        SERVING_TASKS,
-        SERVING_CPU,
-        13_000,
-        0,
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        1,
-        false,
-        true,
-        image,
-        TARGET_MILLIS,
-        false,
-        0);
+    return Steps.ofServing(SERVING_TASKS, SERVING_CPU, image, TARGET_MILLIS)
+        .memoryMb(13_000)
+        .maxPerWorker(1)
+        .build();
   }
 
   private static StepSpec filling(
       int count, int cpuMillis, long estimateMillis, int number, String image) {
     List<Integer> before = number == 0 ? List.of() : List.of(number - 1);
-    return new StepSpec(
-        count,
-        cpuMillis,
-        6_400,
-        0,
-        estimateMillis,
-        before,
-        true,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        image,
-        0,
-        true,
-        0);
+    return Steps.ofFilling(count, cpuMillis, estimateMillis, image)
+        .memoryMb(6_400)
+        .after(before)
+        .checkpointing(true)
+        .build();
   }
 
   private static double logNormal(Random random, double mean, double spread) {
--- a/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillPlacementTest.java
@@ -28,31 +28,11 @@
   private static final int ROOMY_TARGET_MILLIS = 150;
 
   private static StepSpec serving(String image, int targetMillis) {
-    return new StepSpec(
-        1,
-        6_400,
-        13_000,
-        0,
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        true,
-        image,
-        targetMillis,
-        false,
-        0);
+    return Steps.ofServing(1, 6_400, image, targetMillis).memoryMb(13_000).build();
   }
 
   private static StepSpec filling(int count, int cpuMillis, String image) {
-    return new StepSpec(
-        count, cpuMillis, 1_000, 0, 1_000, List.of(), true, false, false, "", "", 0, false, false,
-        image, 0, true, 0);
+    return Steps.ofFilling(count, cpuMillis, 1_000, image).checkpointing(true).build();
   }
 
   private static PoolWorld world(int workers, SimulatedInterference model) {
--- a/core/src/test/java/org/lavenderstage/core/pool/FillingHarmTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillingHarmTest.java
@@ -25,48 +25,16 @@
   private static final long MEASURED_MILLIS = 60_000;
 
   private static StepSpec serving(String image) {
-    return new StepSpec(
-        6,
-        6_400,
-        13_000,
-        0,
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        1,
-        false,
-        true,
-        image,
-        TARGET_MILLIS,
-        false,
-        0);
+    return Steps.ofServing(6, 6_400, image, TARGET_MILLIS).memoryMb(13_000).maxPerWorker(1).build();
   }
 
   private static StepSpec filling(
       String image, int count, long millis, boolean checkpointing, List<Integer> dependsOn) {
-    return new StepSpec(
-        count,
-        3_500,
-        6_400,
-        0,
-        millis,
-        dependsOn,
-        checkpointing,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        image,
-        0,
-        true,
-        0);
+    return Steps.ofFilling(count, 3_500, millis, image)
+        .memoryMb(6_400)
+        .after(dependsOn)
+        .checkpointing(checkpointing)
+        .build();
   }
 
   private static SimulatedInterference interference(long seed, Random random) {
--- a/core/src/test/java/org/lavenderstage/core/pool/FillingLoadTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FillingLoadTest.java
@@ -31,31 +31,14 @@
   private static final List<String> SERVING = List.of("s0", "s1", "s2", "s3");
 
   private static StepSpec serving(int count, String image) {
-    return new StepSpec(
-        count,
-        SERVING_CPU,
-        13_000,
-        0,
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        1,
-        false,
-        true,
-        image,
-        TARGET_MILLIS,
-        false,
-        0);
+    return Steps.ofServing(count, SERVING_CPU, image, TARGET_MILLIS)
+        .memoryMb(13_000)
+        .maxPerWorker(1)
+        .build();
   }
 
   private static StepSpec filling(String image) {
-    return new StepSpec(
-        8, 3_500, 6_400, 0, 1_700, List.of(), true, false, false, "", "", 0, false, false, image, 0,
-        true, 0);
+    return Steps.ofFilling(8, 3_500, 1_700, image).memoryMb(6_400).checkpointing(true).build();
   }
 
   private static PoolWorld world(SimulatedInterference model) {
--- a/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
@@ -18,25 +18,7 @@
   private final PoolWorld world = new PoolWorld(SEED, 2);
 
   private static StepSpec pair(int cpuMillis, int maxPerWorker) {
-    return new StepSpec(
-        2,
-        cpuMillis,
-        1_000,
-        0,
-        500,
-        List.of(),
-        false,
-        true,
-        false,
-        "",
-        "",
-        maxPerWorker,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return Steps.of(2, cpuMillis, 500).gang().maxPerWorker(maxPerWorker).build();
   }
 
   private List<String> runsOrderedFor(Job job) {
@@ -47,7 +29,7 @@
 
   private Job submitWhileOneWorkerIsFull(StepSpec gang, long fullMillis) {
     world.run(200);
-    world.submit(List.of(PoolWorld.step(1, 8_000, fullMillis)), 0);
+    world.submit(List.of(Steps.step(1, 8_000, fullMillis)), 0);
     world.run(200);
     Job job = world.submit(List.of(gang), 0);
     world.run(2_000);
@@ -78,7 +60,7 @@
   @Test
   void aTaskGetsTheRoomThatWasTooLittleForAGang() {
     submitWhileOneWorkerIsFull(pair(4_000, 1), 10_000);
-    Job job = world.submit(List.of(PoolWorld.step(1, 8_000, 500)), 0);
+    Job job = world.submit(List.of(Steps.step(1, 8_000, 500)), 0);
     world.run(300);
     assertEquals(1, runsOrderedFor(job).size());
   }
--- a/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
@@ -29,7 +29,7 @@
 
   private Job submit(int width, long millis, long steady, long clockAhead) {
     String id = String.format("%016x", records.size() + 1);
-    List<StepSpec> steps = List.of(PoolWorld.step(width, 1_000, millis));
+    List<StepSpec> steps = List.of(Steps.step(width, 1_000, millis));
     JobRecord record = new JobRecord(id, RULES, steady + clockAhead, "payload", steps, 0, 0, 0);
     Job job = table.submit(record, steady);
     job.storedAs(JobPhase.ACTIVE);
@@ -125,9 +125,7 @@
   }
 
   private static StepSpec misfit(int count, int cpuMillis, long millis) {
-    return new StepSpec(
-        count, cpuMillis, 1_000, 0, millis, List.of(), false, false, false, "nowhere", "", 0, false,
-        false, "", 0, false, 0);
+    return Steps.of(count, cpuMillis, millis).requiredLabel("nowhere").build();
   }
 
   /** Plays small jobs with large ones; returns the shares of each that are served. */
@@ -154,7 +152,7 @@
         world.submit(misfits, priority);
         job = null;
       } else {
-        job = world.submit(List.of(PoolWorld.step(1 + number % 3, 1_000, millis)), priority);
+        job = world.submit(List.of(Steps.step(1 + number % 3, 1_000, millis)), priority);
       }
       if (job != null && t < 35_000) {
         all.add(job);
@@ -183,13 +181,13 @@
 
   @Test
   void largeJobsAreServedHalfAsOftenAsAll() {
-    assertHalf(shares(2, 250, 10, 5_000, PoolWorld.step(8, 1_000, 5_000), List.of()));
+    assertHalf(shares(2, 250, 10, 5_000, Steps.step(8, 1_000, 5_000), List.of()));
   }
 
   /** Guards the others: jobs that fit nowhere hold turns until they earn nothing. */
   @Test
   void largeJobsAreServedHalfAsOftenAsAllBesideOnesThatFitNowhere() {
-    StepSpec large = PoolWorld.step(8, 1_000, 5_000);
+    StepSpec large = Steps.step(8, 1_000, 5_000);
     assertHalf(shares(2, 250, 10, 5_000, large, List.of(misfit(8, 1_000, 5_000))));
   }
 
@@ -197,7 +195,7 @@
   @Test
   @Tag("known-red")
   void largeUrgentJobsAreServedHalfAsOftenAsAllWhereMoreComesThanFits() {
-    assertHalf(shares(0, 100, 10, 500, PoolWorld.step(16, 1_000, 1_000), List.of()));
+    assertHalf(shares(0, 100, 10, 500, Steps.step(16, 1_000, 1_000), List.of()));
   }
 
   /** Issue 20: a later occurrence is as old as its job, and so goes behind everything. */
@@ -206,9 +204,9 @@
   void aLaterOccurrenceOfATimedJobGetsItsTurn() {
     PoolWorld world = new PoolWorld(SEED, 1);
     world.run(500);
-    Job timed = world.submitRepeated(List.of(PoolWorld.step(1, 1_000, 500)), 2, 2, 15_000);
+    Job timed = world.submitRepeated(List.of(Steps.step(1, 1_000, 500)), 2, 2, 15_000);
     for (int i = 0; i < 525; i++) {
-      world.submit(List.of(PoolWorld.step(1, 1_000, 400)), 2);
+      world.submit(List.of(Steps.step(1, 1_000, 400)), 2);
       world.run(40);
     }
     assertEquals(JobPhase.COMPLETED, timed.phase(), timed.progress().toString());
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -171,15 +171,22 @@
       int tasks = 2 + random.nextInt(3);
       int cpuMillis = 500 + random.nextInt(3_000);
       long millis = 100L + random.nextInt(2_500);
-      List<StepSpec> gang = List.of(PoolWorld.gang(tasks, cpuMillis, millis, random.nextBoolean()));
+      List<StepSpec> gang =
+          List.of(
+              Steps.of(tasks, cpuMillis, millis)
+                  .gang()
+                  .checkpointing(random.nextBoolean())
+                  .build());
       return world.submit(gang, random.nextInt(3));
     }
     if (faults.contains(Fault.FILLING) && random.nextInt(2) == 0) {
       StepSpec step =
           random.nextInt(3) == 0
-              ? PoolWorld.serving(1 + random.nextInt(4), 3_000, 75)
-              : PoolWorld.filling(
-                  1 + random.nextInt(6), 3_000, 100L + random.nextInt(4_000), random.nextBoolean());
+              ? Steps.ofServing(1 + random.nextInt(4), 3_000, "serving", 75).build()
+              : Steps.ofFilling(
+                      1 + random.nextInt(6), 3_000, 100L + random.nextInt(4_000), "filling")
+                  .checkpointing(random.nextBoolean())
+                  .build();
       return world.submit(List.of(step), random.nextInt(3));
     }
     if (faults.contains(Fault.OCCURRENCES) && random.nextInt(3) == 0) {
@@ -319,11 +326,11 @@
       int cpuMillis = 500 + random.nextInt(3_000);
       long millis = 100L + random.nextInt(2_500);
       if (lasting) {
-        steps.add(PoolWorld.lasting(tasks, cpuMillis));
+        steps.add(Steps.lasting(tasks, cpuMillis));
       } else if (faults.contains(Fault.CHECKPOINTS) && random.nextBoolean()) {
-        steps.add(PoolWorld.checkpointing(tasks, cpuMillis, millis, before));
+        steps.add(Steps.checkpointing(tasks, cpuMillis, millis, before));
       } else {
-        steps.add(PoolWorld.step(tasks, cpuMillis, millis, before));
+        steps.add(Steps.step(tasks, cpuMillis, millis, before));
       }
     }
     return steps;
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolWorld.java
@@ -168,6 +168,14 @@
     };
   }
 
+  /** Tells of listings and reports as late as the users' platform does. */
+  void delayAsThePlatform() {
+    listingsToldOnce = true;
+    listingLagMillis = 400;
+    reportsWaitForEnds = true;
+    timeoutMillis = 500;
+  }
+
   Job submit(List<StepSpec> steps, int priority) {
     QueueRules rules = new QueueRules("queue" + priority, "service", priority, 3, 2.0, 1_000);
     String id = String.format("%016x", ++nextJob);
@@ -445,112 +453,4 @@
             .filter(line -> line.contains(task) || line.contains(" WORKER_"))
             .collect(Collectors.joining("\n"));
   }
-
-  static StepSpec step(int count, int cpuMillis, long millis, int... dependsOn) {
-    return step(count, cpuMillis, millis, false, dependsOn);
-  }
-
-  static StepSpec checkpointing(int count, int cpuMillis, long millis, int... dependsOn) {
-    return step(count, cpuMillis, millis, true, dependsOn);
-  }
-
-  private static StepSpec step(
-      int count, int cpuMillis, long millis, boolean checkpointing, int... dependsOn) {
-    List<Integer> before = new ArrayList<>();
-    for (int step : dependsOn) {
-      before.add(step);
-    }
-    return new StepSpec(
-        count,
-        cpuMillis,
-        1_000,
-        0,
-        millis,
-        before,
-        checkpointing,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
-  }
-
-  static StepSpec gang(int count, int cpuMillis, long millis, boolean checkpointing) {
-    return new StepSpec(
-        count,
-        cpuMillis,
-        1_000,
-        0,
-        millis,
-        List.of(),
-        checkpointing,
-        true,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
-  }
-
-  /** A step that fills, of an image that presses on {@link #serving} ones. */
-  static StepSpec filling(int count, int cpuMillis, long millis, boolean checkpointing) {
-    return new StepSpec(
-        count,
-        cpuMillis,
-        1_000,
-        0,
-        millis,
-        List.of(),
-        checkpointing,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "filling",
-        0,
-        true,
-        0);
-  }
-
-  static StepSpec serving(int count, int cpuMillis, int targetMillis) {
-    return new StepSpec(
-        count,
-        cpuMillis,
-        1_000,
-        0,
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        true,
-        "serving",
-        targetMillis,
-        false,
-        0);
-  }
-
-  static StepSpec lasting(int count, int cpuMillis) {
-    return new StepSpec(
-        count, cpuMillis, 1_000, 0, 0, List.of(), false, false, false, "", "", 0, false, true, "",
-        0, false, 0);
-  }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StrandedTaskTest.java
@@ -63,10 +63,7 @@
   private void begin(long seed, int workers) {
     world = new PoolWorld(seed, workers);
     world.workers.forEach(worker -> worker.stopMillis = STOP_MILLIS);
-    world.listingsToldOnce = true;
-    world.listingLagMillis = 400;
-    world.reportsWaitForEnds = true;
-    world.timeoutMillis = 500;
+    world.delayAsThePlatform();
     watched.clear();
     places.clear();
     safeFrom.clear();
@@ -76,7 +73,7 @@
   }
 
   private Job submitLasting(int tasks) {
-    return submitLasting(PoolWorld.lasting(tasks, CPU));
+    return submitLasting(Steps.lasting(tasks, CPU));
   }
 
   private Job submitLasting(StepSpec step) {
@@ -191,6 +188,27 @@
         };
   }
 
+  /**
+   * Holds back the first start and such other orders as a test names; returns the list of the
+   * worker that the start is sent to, which is empty until then.
+   */
+  private List<SimulatedWorker> holdBackFirstStart(Predicate<Order> others) {
+    List<SimulatedWorker> chosen = new ArrayList<>();
+    world.fates =
+        order -> {
+          if (order instanceof Order.Start && chosen.isEmpty()) {
+            chosen.add(
+                world.workers.stream()
+                    .filter(w -> w.id.equals(order.worker().id()))
+                    .findFirst()
+                    .orElseThrow());
+            return PoolWorld.Fate.late(NEVER);
+          }
+          return others.test(order) ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
+        };
+    return chosen;
+  }
+
   /** A stopped task does not wait for the end of its worker. */
   @Test
   void aTaskOfAWorkerThatDrainsGoesOn() {
@@ -266,19 +284,7 @@
   @Test
   void aTaskWhoseStartIsUnansweredWhenItsWorkerDrainsGoesOn() {
     begin(SEED, 6);
-    List<SimulatedWorker> chosen = new ArrayList<>();
-    world.fates =
-        order -> {
-          if (order instanceof Order.Start && chosen.isEmpty()) {
-            chosen.add(
-                world.workers.stream()
-                    .filter(w -> w.id.equals(order.worker().id()))
-                    .findFirst()
-                    .orElseThrow());
-            return PoolWorld.Fate.late(NEVER);
-          }
-          return PoolWorld.Fate.prompt();
-        };
+    List<SimulatedWorker> chosen = holdBackFirstStart(order -> false);
     submitLasting(4);
     run(100);
     chosen.get(0).draining = true;
@@ -470,19 +476,7 @@
   @Tag("known-red")
   void aTaskGoesOnWhereItsWorkerRestartedInPlaceAndAnswersNoStops() {
     begin(SEED, 3);
-    List<SimulatedWorker> chosen = new ArrayList<>();
-    world.fates =
-        order -> {
-          if (order instanceof Order.Start && chosen.isEmpty()) {
-            chosen.add(
-                world.workers.stream()
-                    .filter(w -> w.id.equals(order.worker().id()))
-                    .findFirst()
-                    .orElseThrow());
-            return PoolWorld.Fate.late(NEVER);
-          }
-          return order instanceof Order.Stop ? PoolWorld.Fate.late(NEVER) : PoolWorld.Fate.prompt();
-        };
+    List<SimulatedWorker> chosen = holdBackFirstStart(Order.Stop.class::isInstance);
     submitLasting(1);
     run(100);
     chosen.get(0).crash(world.now);
@@ -534,15 +528,9 @@
   @Test
   void aTaskGoesOnBesideOneOfItsShapeThatMayBePlacedNowhere() {
     begin(SEED, 4);
-    StepSpec spread =
-        new StepSpec(
-            6, CPU, 1_000, 0, 0, List.of(), false, false, false, "", "", 1, false, true, "", 0,
-            false, 0);
+    StepSpec spread = Steps.ofLasting(6, CPU).maxPerWorker(1).build();
     world.submit(List.of(spread), 0);
-    StepSpec nowhere =
-        new StepSpec(
-            2, CPU, 1_000, 0, 0, List.of(), false, false, false, "absent", "", 0, false, true, "",
-            0, false, 0);
+    StepSpec nowhere = Steps.ofLasting(2, CPU).requiredLabel("absent").build();
     world.submit(List.of(nowhere), 0);
     submitLasting(4);
     run(2_000);
@@ -554,16 +542,16 @@
   /** Fills the pool with short tasks of less need for some time, and lets a worker drain. */
   private void drainUnderLoad(int lastingCpu, int shortCpu, int bursts) {
     begin(SEED, 6);
-    submitLasting(PoolWorld.lasting(5, lastingCpu));
+    submitLasting(Steps.lasting(5, lastingCpu));
     roomWanted = 2 * lastingCpu;
     run(2_000);
     Random lengths = new Random(SEED);
     for (int i = 0; i < 300; i++) {
       for (int j = 0; j < 4; j++) {
-        world.submit(List.of(PoolWorld.step(1, shortCpu, 500 + lengths.nextInt(1_000))), 2);
+        world.submit(List.of(Steps.step(1, shortCpu, 500 + lengths.nextInt(1_000))), 2);
       }
       if (i < bursts) {
-        world.submit(List.of(PoolWorld.step(20, 2 * CPU, 300)), 0);
+        world.submit(List.of(Steps.step(20, 2 * CPU, 300)), 0);
       }
       run(40);
       if (i == 75) {
