--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -23,7 +23,6 @@
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.pool.Order;
 import org.lavenderstage.core.pool.OrderResult;
-import org.lavenderstage.core.pool.PoolTiming;
 
 /** What an owner does where a worker's answer or the client of the workers fails it. */
 class JobOwnerTest {
@@ -60,9 +59,7 @@
     for (String worker : workers) {
       log.append(LogTopic.WORKERS, OptionalLong.empty(), List.of(worker(worker))).join();
     }
-    OwnerTerms made =
-        new OwnerTerms(
-            log, orders, new PoolTiming(6_000, 300, 2_500), 120_000, (decision, values) -> {});
+    OwnerTerms made = TestTerms.over(log, orders);
     terms = Optional.of(made);
     made.claim("a", "a:1", 0, former -> false, () -> true);
     return made.current().orElseThrow();
--- a/entry/src/test/java/org/lavenderstage/entry/job/OpenClaimTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OpenClaimTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
@@ -16,8 +15,6 @@
 import org.lavenderstage.core.job.JobVerb;
 import org.lavenderstage.core.job.QueueRules;
 import org.lavenderstage.core.job.StepSpec;
-import org.lavenderstage.core.pool.OrderResult;
-import org.lavenderstage.core.pool.PoolTiming;
 
 /** Which claims in the log an entry may take for its own after an append without an answer. */
 class OpenClaimTest {
@@ -27,17 +24,8 @@
   private static final String OTHER = new Incarnation("vm-2", 3_000).toString();
 
   private final MemoryLog log = new MemoryLog();
-  private final OwnerTerms terms = terms();
-  private final OwnerTerms others = terms();
-
-  private OwnerTerms terms() {
-    return new OwnerTerms(
-        log,
-        (order, term) -> CompletableFuture.completedFuture(new OrderResult.Unanswered("none")),
-        new PoolTiming(6_000, 300, 2_500),
-        120_000,
-        (decision, values) -> {});
-  }
+  private final OwnerTerms terms = TestTerms.over(log);
+  private final OwnerTerms others = TestTerms.over(log);
 
   @AfterEach
   void endTerms() {
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
@@ -257,15 +257,6 @@
     assertEquals(List.of(), starts());
   }
 
-  private static OwnerTerms terms(KeyedLog log) {
-    return new OwnerTerms(
-        log,
-        (order, term) -> CompletableFuture.completedFuture(new OrderResult.Unanswered("none")),
-        TIMING,
-        RETENTION_MILLIS,
-        (decision, values) -> {});
-  }
-
   private static boolean isDeposedInTime(JobOwner owner) throws InterruptedException {
     long latest = Time.steadyMillis() + LONGEST_MILLIS;
     while (!owner.isDeposed() && Time.steadyMillis() < latest) {
@@ -278,8 +269,8 @@
   @Test
   void aReplacedOwnerEndsThoughTheHistoryIsForgotten() throws Exception {
     MemoryLog log = new MemoryLog();
-    OwnerTerms first = terms(log);
-    OwnerTerms second = terms(log);
+    OwnerTerms first = TestTerms.over(log);
+    OwnerTerms second = TestTerms.over(log);
     try {
       first.claim("a", "a:1", 0, former -> false, () -> true);
       JobOwner replaced = first.current().orElseThrow();
@@ -327,7 +318,7 @@
   /** The journal waited for good to learn whether its append was stored. */
   @Test
   void anAppendWithoutItsAnswerIsSettledThoughTheHistoryIsForgotten() throws Exception {
-    OwnerTerms terms = terms(new ForgetfulLog());
+    OwnerTerms terms = TestTerms.over(new ForgetfulLog());
     try {
       terms.claim("a", "a:1", 0, former -> false, () -> true);
       JobOwner owner = terms.current().orElseThrow();
@@ -353,7 +344,8 @@
     MemoryLog log = new MemoryLog();
     Members members = new Members(log, "a@1", "a:1");
     OwnerElection election =
-        new OwnerElection("a@1", "a:1", 100, members, new ConfigurationWatch(log), terms(log));
+        new OwnerElection(
+            "a@1", "a:1", 100, members, new ConfigurationWatch(log), TestTerms.over(log));
     election.answer(new OwnershipQuery("b@1", 9, 0));
     assertFalse(election.isFollowed());
   }
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerTermsTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerTermsTest.java
@@ -6,7 +6,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -19,25 +18,14 @@
 import org.lavenderstage.core.job.JobVerb;
 import org.lavenderstage.core.job.QueueRules;
 import org.lavenderstage.core.job.StepSpec;
-import org.lavenderstage.core.pool.OrderResult;
-import org.lavenderstage.core.pool.PoolTiming;
 
 class OwnerTermsTest {
   private static final String JOB = "00000000000000aa";
   private static final long ANSWER_SECONDS = 5;
 
   private final MemoryLog log = new MemoryLog();
-  private final OwnerTerms first = terms();
-  private final OwnerTerms second = terms();
-
-  private OwnerTerms terms() {
-    return new OwnerTerms(
-        log,
-        (order, term) -> CompletableFuture.completedFuture(new OrderResult.Unanswered("none")),
-        new PoolTiming(6_000, 300, 2_500),
-        120_000,
-        (decision, values) -> {});
-  }
+  private final OwnerTerms first = TestTerms.over(log);
+  private final OwnerTerms second = TestTerms.over(log);
 
   @AfterEach
   void endTerms() {
