--- a/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/request/EntryRequestTest.java
@@ -139,6 +139,10 @@
     return post(entry, READS, "", "ping").status().code() == 200;
   }
 
+  private static boolean takesOrders(Entry entry) {
+    return post(entry, ORDERS, key(0), "order").status().code() == 200;
+  }
+
   @Test
   void everyRefusalHasItsStatusItsCodeAndNoTrace() {
     String old = key(-Duration.ofHours(2).toMillis());
@@ -222,7 +226,7 @@
     } finally {
       LOG_FAULTS.set(FaultSwitch.Kind.DOWN, 0);
     }
-    await(() -> post(first, ORDERS, key(0), "order").status().code() == 200);
+    await(() -> takesOrders(first) && takesOrders(second));
   }
 
   @Test
@@ -232,7 +236,7 @@
       post(first, ORDERS, key(0), "order");
     }
     LOG_FAULTS.set(FaultSwitch.Kind.LOSE_ANSWERS, 0);
-    await(() -> post(first, ORDERS, key(0), "order").status().code() == 200);
+    await(() -> takesOrders(first) && takesOrders(second));
   }
 
   private static String key(long offsetMillis) {
