--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -80,6 +80,9 @@
   /** How long an append takes, in milliseconds. */
   long appendMillis = 5;
 
+  /** Number of appends that owners have started. */
+  int appendCount;
+
   /** Longest additional delay of an answer, in milliseconds. */
   int maxAnswerDelayMillis;
 
@@ -301,6 +304,7 @@
       return;
     }
     appending = owner.drainChanges();
+    appendCount += appending.isPresent() ? 1 : 0;
     JobScheduler writer = owner;
     appending.ifPresent(
         batch -> schedule(appendMillis, () -> deliver(writer, () -> handleStored(writer, batch))));
