--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -86,6 +86,7 @@
   private long confirmationNeededSinceMillis;
   private long lastEndReadMillis;
   private boolean ordersPaused;
+  private final OwnerLoad load = new OwnerLoad(System::nanoTime);
   private Thread ownerThread;
   private BackgroundThread stepThread;
 
@@ -153,7 +154,9 @@
 
   private void step() {
     ownerThread = Thread.currentThread();
+    load.beginRound(events.size());
     int handled = events.drain(EVENTS_PER_STEP, this::handle);
+    load.endPart(OwnerLoad.Part.EVENTS, handled);
     long nowMillis = Clocks.monotonicMillis();
     detectStall(nowMillis);
     if (journal.isDeposed() || scheduler.isFenced() || closed) {
@@ -166,12 +169,14 @@
     }
     storeSilentMillis = Math.max(0, nowMillis - journal.confirmedMillis());
     if (maySendOrders(nowMillis)) {
-      for (Order order : scheduler.step(nowMillis, Clocks.wallMillis())) {
-        send(order);
-      }
+      List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
+      load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
+      due.forEach(this::send);
+      load.endPart(OwnerLoad.Part.SENDING, due.size());
     }
     storeChanges(nowMillis);
     expireWaitingCallers(nowMillis);
+    load.endRound(journal.pendingMillis(nowMillis));
     if (handled < EVENTS_PER_STEP) {
       LockSupport.parkNanos(EVENT_BATCH_MILLIS * 1_000_000);
       park();
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -98,6 +98,8 @@
   JOURNAL_RESUMED(7110),
   /** The journal's topic contains, or may contain, records of another entry. */
   JOURNAL_OVERTAKEN(7111),
+  /** Once a second: how the owner's thread spent its time. */
+  OWNER_LOAD(7112),
   /** A caller's request was answered. */
   CALL_ANSWERED(7201),
   /** A job was submitted; it is not stored yet. */
