--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -190,7 +190,7 @@
   private void send(Order order) {
     CompletableFuture<OrderResult> result;
     try {
-      result = orders.send(order, term);
+      result = load.timeAnswer(order, orders.send(order, term));
     } catch (RuntimeException e) {
       result = CompletableFuture.failedFuture(e);
     }
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerLoad.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerLoad.java
@@ -4,8 +4,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAccumulator;
 import java.util.function.LongSupplier;
+import org.lavenderstage.core.pool.Order;
+import org.lavenderstage.core.pool.OrderResult;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 
@@ -32,6 +36,7 @@
   private final Map<Part, Long> nanos = new EnumMap<>(Part.class);
   private final Map<Part, Long> counts = new EnumMap<>(Part.class);
   private final LongSupplier nanoClock;
+  private final LongAccumulator longestAnswerNanos = new LongAccumulator(Math::max, 0);
   private long intervalStartNanos;
   private long roundStartNanos;
   private long lastMarkNanos;
@@ -68,6 +73,23 @@
     lastMarkNanos = nowNanos;
   }
 
+  /**
+   * Measures the time until an order is answered, unless it is a poll, whose answer waits for ends
+   * of runs. The answer may arrive in another thread.
+   *
+   * @param order the order
+   * @param result the result to come
+   * @return the same result
+   */
+  CompletableFuture<OrderResult> timeAnswer(Order order, CompletableFuture<OrderResult> result) {
+    if (order instanceof Order.Poll) {
+      return result;
+    }
+    long sentNanos = nanoClock.getAsLong();
+    return result.whenComplete(
+        (answer, failure) -> longestAnswerNanos.accumulate(nanoClock.getAsLong() - sentNanos));
+  }
+
   /**
    * Ends a round, and logs a summary if it is due.
    *
@@ -100,6 +122,8 @@
       longestQueue,
       "longest-append-ms",
       longestAppendMillis,
+      "longest-answer-ms",
+      millis(longestAnswerNanos.getThenReset()),
       "events",
       counts.getOrDefault(Part.EVENTS, 0L),
       "orders",
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerLoadTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerLoadTest.java
@@ -6,7 +6,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.pool.Order;
+import org.lavenderstage.core.pool.OrderResult;
 
 class OwnerLoadTest {
   private static final long MILLI = 1_000_000;
@@ -25,9 +28,18 @@
     load.endPart(OwnerLoad.Part.SCHEDULING, 3);
     nowMillis = 85;
     load.endPart(OwnerLoad.Part.SENDING, 3);
+    CompletableFuture<OrderResult> answer = new CompletableFuture<>();
+    CompletableFuture<OrderResult> pollAnswer = new CompletableFuture<>();
+    CompletableFuture<OrderResult> timedAnswer =
+        load.timeAnswer(new Order.StopUntracked(null, null, 1), answer);
+    CompletableFuture<OrderResult> timedPollAnswer =
+        load.timeAnswer(new Order.Poll(null, 0, 0, 0, 0), pollAnswer);
     nowMillis = 86;
     Optional<Object[]> first = load.summarizeRound(20);
+    nowMillis = 120;
+    answer.complete(new OrderResult.Accepted(0));
     nowMillis = 990;
+    pollAnswer.complete(new OrderResult.Accepted(0));
     load.beginRound(2);
     nowMillis = 995;
     load.endPart(OwnerLoad.Part.EVENTS, 2);
@@ -35,6 +47,8 @@
     Optional<Object[]> second = load.summarizeRound(5);
 
     assertTrue(first.isEmpty());
+    assertEquals(new OrderResult.Accepted(0), timedAnswer.join());
+    assertEquals(new OrderResult.Accepted(0), timedPollAnswer.join());
     assertEquals(
         Map.ofEntries(
             Map.entry("interval-ms", 1_000L),
@@ -43,6 +57,7 @@
             Map.entry("longest-pause-ms", 904L),
             Map.entry("longest-queue", 7L),
             Map.entry("longest-append-ms", 20L),
+            Map.entry("longest-answer-ms", 35L),
             Map.entry("events", 9L),
             Map.entry("orders", 3L),
             Map.entry("events-ms", 15L),
@@ -76,6 +91,7 @@
             Map.entry("longest-pause-ms", 10L),
             Map.entry("longest-queue", 1L),
             Map.entry("longest-append-ms", 0L),
+            Map.entry("longest-answer-ms", 0L),
             Map.entry("events", 1L),
             Map.entry("orders", 0L),
             Map.entry("events-ms", 1L),
