--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -2,17 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.lavenderstage.clients.KeyedLog;
-import org.lavenderstage.clients.KeyedRecord;
 import org.lavenderstage.clients.WorkerOrders;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobAnswer;
@@ -24,10 +21,8 @@
 import org.lavenderstage.core.pool.Order;
 import org.lavenderstage.core.pool.OrderResult;
 import org.lavenderstage.core.pool.OwnerPacing;
-import org.lavenderstage.core.pool.WorkerListing;
 import org.lavenderstage.entry.duty.BackgroundThread;
 import org.lavenderstage.entry.duty.BoundedRing;
-import org.lavenderstage.platform.ListingDecoder;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 
@@ -74,8 +69,7 @@
   private final OwnerPacing pacing = new OwnerPacing();
   private final BoundedRing<OwnerEvent> events = new BoundedRing<>(MAX_QUEUED_EVENTS);
   private final Map<Job, List<WaitingCaller>> waitingCallers = new HashMap<>();
-  private final Set<String> unreadableListings = new HashSet<>();
-  private final Map<String, WorkerListing> listings = new HashMap<>();
+  private final ListingUpdates listingUpdates;
   private volatile boolean deposed;
   private volatile boolean closed;
   private volatile boolean parked;
@@ -85,6 +79,7 @@
   private long confirmationNeededSinceMillis;
   private long lastEndReadMillis;
   private boolean ordersPaused;
+  private final OwnerLoad load = new OwnerLoad(System::nanoTime);
   private Thread ownerThread;
   private BackgroundThread stepThread;
 
@@ -102,6 +97,7 @@
     this.scheduler = scheduler;
     this.orders = orders;
     this.isFollowed = isFollowed;
+    listingUpdates = new ListingUpdates(scheduler);
     lastStepMillis = Clocks.monotonicMillis();
     lastWallOffsetMillis = Clocks.wallMillis() - lastStepMillis;
     journal = new JobJournal(log, journalEndOffset, lastStepMillis, this::post);
@@ -152,8 +148,9 @@
 
   private void step() {
     ownerThread = Thread.currentThread();
-    long startNanos = System.nanoTime();
+    load.beginRound(events.size());
     int handled = events.drain(EVENTS_PER_STEP, this::handle);
+    load.endPart(OwnerLoad.Part.EVENTS, handled);
     long nowMillis = Clocks.monotonicMillis();
     detectStall(nowMillis);
     if (journal.isDeposed() || scheduler.isFenced() || closed) {
@@ -166,13 +163,14 @@
     }
     storeSilentMillis = Math.max(0, nowMillis - journal.confirmedMillis());
     if (maySendOrders(nowMillis)) {
-      for (Order order : scheduler.step(nowMillis, Clocks.wallMillis())) {
-        send(order);
-      }
+      List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
+      load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
+      due.forEach(this::send);
+      load.endPart(OwnerLoad.Part.SENDING, due.size());
     }
     storeChanges(nowMillis);
     expireWaitingCallers(nowMillis);
-    pacing.recordStep((System.nanoTime() - startNanos) / 1e6);
+    pacing.recordStep(load.endRound(journal.pendingMillis(nowMillis)));
     if (handled < EVENTS_PER_STEP) {
       LockSupport.parkNanos(pacing.pauseMillis() * 1_000_000);
       park();
@@ -186,7 +184,7 @@
   private void send(Order order) {
     CompletableFuture<OrderResult> result;
     try {
-      result = orders.send(order, term);
+      result = load.timeAnswer(order, orders.send(order, term));
     } catch (RuntimeException e) {
       result = CompletableFuture.failedFuture(e);
     }
@@ -258,7 +256,7 @@
               .ifPresent(batch -> handleStored(batch, nowMillis));
       case OwnerEvent.JournalEndRead read ->
           journal.handleEndRead(read, nowMillis).ifPresent(batch -> handleStored(batch, nowMillis));
-      case OwnerEvent.ListingsRead listingsRead -> updateListings(listingsRead.poll());
+      case OwnerEvent.ListingsRead listingsRead -> listingUpdates.apply(listingsRead.poll());
     }
   }
 
@@ -381,44 +379,6 @@
     }
   }
 
-  private void updateListings(TopicReader.Poll poll) {
-    switch (poll) {
-      case TopicReader.Poll.Snapshot snapshot -> {
-        Set<String> gone = new HashSet<>(listings.keySet());
-        snapshot.records().forEach(record -> gone.remove(record.key()));
-        gone.forEach(this::removeListing);
-        snapshot.records().forEach(this::updateListing);
-      }
-      case TopicReader.Poll.Changes changes -> changes.records().forEach(this::updateListing);
-      case TopicReader.Poll.Failed failed -> {
-        // the known listings remain valid while the store is unavailable
-      }
-    }
-  }
-
-  private void updateListing(KeyedRecord record) {
-    if (record.value().isEmpty()) {
-      removeListing(record.key());
-      return;
-    }
-    Optional<WorkerListing> listing = ListingDecoder.decode(record.key(), record.value().get());
-    if (listing.isEmpty()) {
-      if (unreadableListings.add(record.key())) {
-        EventLog.warn(LogEvent.LISTING_UNREADABLE, "key", record.key());
-      }
-      return;
-    }
-    if (!listing.get().equals(listings.put(record.key(), listing.get()))) {
-      scheduler.workerListed(listing.get());
-    }
-  }
-
-  private void removeListing(String id) {
-    if (listings.remove(id) != null) {
-      scheduler.workerUnlisted(id);
-    }
-  }
-
   private void endTerm() {
     if (!deposed) {
       deposed = true;
