Run an owner's code before an entry has to own the jobs

Each entry that does not own the jobs now runs that code with simulated workers and a server of its own process (OwnerWarmup), slowly while callers need the processor. The rehearsal of the build does so as well, so that the class archive holds these classes.

--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -105,6 +105,11 @@
     server.start().join();
   }
 
+  /** Returns the number of callers' requests that named a queue so far. */
+  long requestCount() {
+    return requestCount.get();
+  }
+
   private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
     int port = context.localAddress().getPort();
     if (port == settings.readinessPort()) {
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -32,11 +32,15 @@
    */
   private static final long RUN_LEASE_MILLIS = 6_000;
 
+  /** Interval at which the warm-up checks whether there is an owner, in milliseconds. */
+  private static final long WARMUP_CHECK_MILLIS = 200;
+
   private final NodeSettings settings;
   private final String entry;
   private final EventLoopGroup eventLoops = EventLoopGroups.newEventLoopGroup(1, "io", true);
   private final PlatformHttp http = new PlatformHttp(eventLoops);
   private final PlatformStore store;
+  private final PlatformWorkers workers;
   private final ConfigurationWatcher configuration;
   private final Members members;
   private final OwnershipManager ownership;
@@ -46,6 +50,7 @@
   private final FrontServer frontServer;
   private final EntryMetrics metrics = new EntryMetrics();
   private volatile boolean draining;
+  private Thread warmupThread;
 
   /**
    * Creates an entry and its servers.
@@ -64,10 +69,11 @@
             Math.min(RUN_LEASE_MILLIS, settings.bounds().maxLeaseMillis()),
             settings.bounds().leaseOverrunMillis(),
             PREVIOUS_OWNER_RENEWAL_MILLIS);
+    workers = new PlatformWorkers(http);
     ownership =
         new OwnershipManager(
             store,
-            new PlatformWorkers(http),
+            workers,
             timing,
             settings.bounds().stateRetentionMillis(),
             JobEntry::logDecision);
@@ -91,6 +97,30 @@
     EventLog.info(LogEvent.valueOf(decision.name()), namesAndValues);
   }
 
+  private void warmUpOwner() {
+    OwnerWarmup warmup =
+        new OwnerWarmup(
+            workers, eventLoops, () -> !draining && !ownsJobs(), frontServer::requestCount);
+    warmupThread =
+        Thread.ofPlatform()
+            .daemon()
+            .name("warmup")
+            .start(
+                () -> {
+                  try {
+                    while (!isReady()) {
+                      Thread.sleep(WARMUP_CHECK_MILLIS);
+                    }
+                    int completed = warmup.run();
+                    EventLog.info(LogEvent.OWNER_WARMED_UP, "entry", entry, "jobs", completed);
+                  } catch (InterruptedException e) {
+                    // the entry stops
+                  } catch (RuntimeException e) {
+                    EventLog.warn(LogEvent.DUTY_FAILED, "duty", "warmup", "cause", e);
+                  }
+                });
+  }
+
   private boolean isReady() {
     return !draining && configuration.active().isPresent() && election.owner().term() > 0;
   }
@@ -116,6 +146,7 @@
     configuration.start();
     members.start();
     election.start();
+    warmUpOwner();
     EventLog.info(
         LogEvent.ENTRY_STARTED,
         "entry",
@@ -158,6 +189,9 @@
   @Override
   public void close() {
     drain();
+    if (warmupThread != null) {
+      warmupThread.interrupt();
+    }
     router.stopRetrying();
     frontServer.close();
     election.close();
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -6,7 +6,9 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.util.EventLoopGroups;
 import com.linecorp.armeria.server.Server;
+import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -14,10 +16,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.jar.JarFile;
 import org.lavenderstage.platform.InvalidSettingException;
 import org.lavenderstage.platform.NodeSettings;
 import org.lavenderstage.platform.NodeSettingsReader;
+import org.lavenderstage.platform.PlatformHttp;
+import org.lavenderstage.platform.PlatformWorkers;
 import org.lavenderstage.wire.event.EventLog;
 
 /**
@@ -92,12 +97,22 @@
         Thread.sleep(POLL_MILLIS);
       }
       Thread.sleep(RUN_AFTER_CLAIM_MILLIS);
+      warmUpOwner();
       return entry.ownsJobs();
     } finally {
       store.stop().join();
     }
   }
 
+  private static void warmUpOwner() throws InterruptedException {
+    EventLoopGroup eventLoops = EventLoopGroups.newEventLoopGroup(1, "rehearsal", true);
+    try (PlatformHttp http = new PlatformHttp(eventLoops)) {
+      new OwnerWarmup(new PlatformWorkers(http), eventLoops, () -> true, () -> 0).run();
+    } finally {
+      Future<?> unused = eventLoops.shutdownGracefully();
+    }
+  }
+
   private static HttpResponse emptyLogResponse() {
     return HttpResponse.of(HttpStatus.OK, MediaType.OCTET_STREAM, HttpData.wrap(EMPTY_LOG));
   }
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -100,6 +100,8 @@
   JOURNAL_OVERTAKEN(7111),
   /** Once a second: how the owner's thread spent its time. */
   OWNER_LOAD(7112),
+  /** This entry has run an owner's code with simulated workers. */
+  OWNER_WARMED_UP(7113),
   /** A caller's request was answered. */
   CALL_ANSWERED(7201),
   /** A job was submitted; it is not stored yet. */
