Replace an owner for the store only where calls to the store fail

An owner reported the time since it had last handled an answer of the store. An owner that is late by 500 ms beside the wait of 500 ms of its configuration watch exceeded the limit of 1,000 ms, though the store had answered.

StoreMonitor records the results of all calls of an entry to the store. The store counts as silent from the first call that failed since the last answer, where a call that timed out counts from when it was sent. A call without a result shows nothing. An entry replaces a live owner only if the store answered it within the last second, as before.

--- a/entry/src/main/java/org/lavenderstage/entry/job/ConfigurationWatcher.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ConfigurationWatcher.java
@@ -28,7 +28,6 @@
 
   private final TopicReader reader;
   private volatile Optional<QueueTable> active = Optional.empty();
-  private volatile long lastAnswerMillis;
   private boolean failing;
   private BackgroundThread thread;
 
@@ -37,7 +36,6 @@
   }
 
   void start() {
-    lastAnswerMillis = Clocks.monotonicMillis();
     thread = new BackgroundThread("configuration", this::step);
   }
 
@@ -46,11 +44,6 @@
     return active;
   }
 
-  /** Returns how long ago the store last answered, in milliseconds. */
-  long storeSilentMillis() {
-    return Math.max(0, Clocks.monotonicMillis() - lastAnswerMillis);
-  }
-
   private void step() throws InterruptedException {
     switch (reader.poll(READ_WAIT_MILLIS)) {
       case TopicReader.Poll.Snapshot snapshot -> handleRecords(snapshot.records());
@@ -66,7 +59,6 @@
   }
 
   private void handleRecords(List<KeyedRecord> records) {
-    lastAnswerMillis = Clocks.monotonicMillis();
     if (failing) {
       failing = false;
       EventLog.info(LogEvent.STORE_REGAINED);
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -57,8 +57,9 @@
     entry = new Incarnation(settings.vm(), Clocks.wallMillis()).toString();
     String peerAddress = settings.ip() + ":" + settings.peerPort();
     store = new PlatformStore(http, settings.storeAddress());
-    configuration = new ConfigurationWatcher(store);
-    members = new Members(store, entry, peerAddress);
+    StoreMonitor storeMonitor = new StoreMonitor(store, Clocks::monotonicMillis);
+    configuration = new ConfigurationWatcher(storeMonitor);
+    members = new Members(storeMonitor, entry, peerAddress);
     PoolTiming timing =
         new PoolTiming(
             Math.min(RUN_LEASE_MILLIS, settings.bounds().maxLeaseMillis()),
@@ -66,14 +67,14 @@
             PREVIOUS_OWNER_RENEWAL_MILLIS);
     ownership =
         new OwnershipManager(
-            store,
+            storeMonitor,
             new PlatformWorkers(http),
             timing,
             settings.bounds().stateRetentionMillis(),
             JobEntry::logDecision);
     election =
         new OwnerElection(
-            entry, peerAddress, settings.cpuMillis(), members, configuration, ownership);
+            entry, peerAddress, settings.cpuMillis(), members, storeMonitor, ownership);
     router = new CallRouter(election, ownership);
     peerServer = new PeerServer(settings.ip(), settings.peerPort(), this::handlePeerMessage);
     frontServer =
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -73,7 +73,6 @@
   private volatile boolean deposed;
   private volatile boolean closed;
   private volatile boolean parked;
-  private volatile long storeSilentMillis;
   private long lastStepMillis;
   private long lastWallOffsetMillis;
   private long confirmationNeededSinceMillis;
@@ -120,11 +119,6 @@
     return deposed;
   }
 
-  /** Returns how long ago the store last confirmed the ownership, in milliseconds. */
-  long storeSilentMillis() {
-    return storeSilentMillis;
-  }
-
   /** Adds an event for the owner's thread. Waits while the queue is full and the owner is open. */
   void post(OwnerEvent event) {
     while (!closed && !events.offer(event)) {
@@ -161,7 +155,6 @@
       lastEndReadMillis = nowMillis;
       journal.readEnd(nowMillis);
     }
-    storeSilentMillis = Math.max(0, nowMillis - journal.confirmedMillis());
     if (maySendOrders(nowMillis)) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
@@ -31,8 +31,8 @@
   private static final long OWNER_TIMEOUT_MILLIS = 900;
 
   /**
-   * Time without an answer of the store after which an owner is replaced, in milliseconds; twice
-   * the duration of a read that waits for changes.
+   * Time during which calls to the store fail after which an owner is replaced, in milliseconds; as
+   * long as the timeout of one call.
    */
   private static final long STORE_TIMEOUT_MILLIS = 1_000;
 
@@ -55,7 +55,7 @@
   private final String peerAddress;
   private final ClaimOrder claimOrder;
   private final Members members;
-  private final ConfigurationWatcher configuration;
+  private final StoreMonitor store;
   private final OwnershipManager ownership;
   private final PeerLinkPool links = new PeerLinkPool(REPLY_TIMEOUT_MILLIS);
   private final ExecutorService peerExecutor;
@@ -72,13 +72,13 @@
       String peerAddress,
       int processorMillis,
       Members members,
-      ConfigurationWatcher configuration,
+      StoreMonitor store,
       OwnershipManager ownership) {
     this.entry = entry;
     this.peerAddress = peerAddress;
     this.claimOrder = new ClaimOrder(entry, processorMillis);
     this.members = members;
-    this.configuration = configuration;
+    this.store = store;
     this.ownership = ownership;
     peerExecutor =
         Executors.newCachedThreadPool(
@@ -141,8 +141,8 @@
           return true;
         }
         boolean lostStore =
-            ownerReply.storeSilentMillis() > STORE_TIMEOUT_MILLIS
-                && configuration.storeSilentMillis() < STORE_TIMEOUT_MILLIS;
+            ownerReply.storeSilentMillis() >= STORE_TIMEOUT_MILLIS
+                && store.lastAnswerAgeMillis() < STORE_TIMEOUT_MILLIS;
         boolean starting =
             ownerReply.entry().equals(owner.entry())
                 && ownerReply.candidate()
@@ -156,7 +156,7 @@
   }
 
   private OwnershipQuery createQuery() {
-    return new OwnershipQuery(entry, owner.term(), configuration.storeSilentMillis());
+    return new OwnershipQuery(entry, owner.term(), store.silentMillis());
   }
 
   private void standForElection() throws InterruptedException {
@@ -175,7 +175,7 @@
             nowMillis - ownerLastHeardMillis);
       }
     }
-    if (configuration.storeSilentMillis() > STORE_TIMEOUT_MILLIS) {
+    if (store.silentMillis() >= STORE_TIMEOUT_MILLIS) {
       return;
     }
     List<OwnershipReply> replies = queryMembers();
@@ -279,12 +279,6 @@
 
   private OwnershipReply createReply() {
     Optional<JobOwner> localOwner = ownership.current().filter(o -> !o.isDeposed());
-    // A busy owner handles the results of its appends late; the configuration reads show sooner
-    // that the store answers.
-    long storeSilent =
-        Math.min(
-            configuration.storeSilentMillis(),
-            localOwner.map(JobOwner::storeSilentMillis).orElse(Long.MAX_VALUE));
     long ownerSilent = localOwner.isPresent() ? 0 : Clocks.monotonicMillis() - ownerLastHeardMillis;
     OwnerView knownOwner = owner;
     return new OwnershipReply(
@@ -294,7 +288,7 @@
         knownOwner.address(),
         localOwner.isPresent() && localOwner.get().term() == knownOwner.term(),
         ownerSilent,
-        storeSilent,
+        store.silentMillis(),
         !released,
         claimOrder.processorMillis());
   }
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
@@ -375,7 +375,7 @@
             "a:1",
             100,
             members,
-            new ConfigurationWatcher(log),
+            new StoreMonitor(log, Clocks::monotonicMillis),
             TestOwnership.managerOf(log));
     election.handleQuery(new OwnershipQuery("b@1", 9, 0));
     assertFalse(election.isFollowed());
