Test the replacement of an owner whose calls to the store time out

The store monitor counts a call that timed out from when it was sent; the test runs it with two entries.

--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
@@ -39,6 +39,9 @@
     private boolean delayed;
     private volatile boolean refusing;
 
+    /** Time after which all calls fail, 0 if they are answered. */
+    private volatile long callTimeoutMillis;
+
     StorePath(KeyedLog log) {
       this.log = log;
     }
@@ -58,6 +61,17 @@
       answers.forEach(Runnable::run);
     }
 
+    private <T> CompletableFuture<T> fail(T result, long waitMillis) {
+      return refusing
+          ? answer(result)
+          : new CompletableFuture<T>()
+              .completeOnTimeout(result, callTimeoutMillis + waitMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean failing() {
+      return refusing || callTimeoutMillis > 0;
+    }
+
     private <T> CompletableFuture<T> answer(T result) {
       synchronized (this) {
         if (delayed) {
@@ -72,15 +86,15 @@
     @Override
     public CompletableFuture<Append> append(
         LogTopic topic, OptionalLong at, List<KeyedRecord> records) {
-      return refusing
-          ? answer(new Append.Refused("status 503"))
+      return failing()
+          ? fail(new Append.Unanswered("no answer"), 0)
           : log.append(topic, at, records).thenCompose(this::answer);
     }
 
     @Override
     public CompletableFuture<Read> read(LogTopic topic, long from, int waitMillis) {
-      if (refusing) {
-        return answer(new Read.Failed("status 503"));
+      if (failing()) {
+        return fail(new Read.Failed("no answer"), waitMillis);
       }
       CompletableFuture<Read> result = new CompletableFuture<>();
       return result
@@ -91,8 +105,8 @@
 
     @Override
     public CompletableFuture<Newest> newest(LogTopic topic, Optional<String> after) {
-      return refusing
-          ? answer(new Newest.Failed("status 503"))
+      return failing()
+          ? fail(new Newest.Failed("no answer"), 0)
           : log.newest(topic, after).thenCompose(this::answer);
     }
   }
@@ -178,6 +192,13 @@
     assertTrue(first.ownsJobs());
   }
 
+  @Test
+  void ownerWhoseCallsToStoreTimeOutIsReplaced() throws Exception {
+    first.path.callTimeoutMillis = 1_000;
+    awaitUntil(second::ownsJobs);
+    assertEquals(2, second.election.owner().term());
+  }
+
   @Test
   void ownerThatStoreRefusesIsReplaced() throws Exception {
     first.path.refusing = true;
