Reject calls that the owner cannot take in time, and take calls first

The owner takes calls in one queue with the results of orders, in rounds of up to 1.9 s. Each caller is answered at 0.45 of its deadline and comes again, and the owner still submitted what its callers had been told nothing of.

Calls now have a queue of their own, which is drained first in each round. A call that the owner's thread has not taken 100 ms before its caller is answered is withdrawn and rejected with Retry-After. The thread takes a call and the timer withdraws it by one atomic step, so a rejected call never has an effect. A full queue of calls rejects at once instead of blocking the caller's event loop. A forwarded call is in the queue no longer than the owner's entry waits for its answer.

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -214,6 +214,8 @@
         return encode(query, new JobAnswer.Rejected("the job cannot be read", 0));
       }
     }
+    long waitMillis =
+        Math.min(query.remainingMillis(), REPLY_TIMEOUT_MILLIS - 2 * RETRY_DELAY_MILLIS);
     JobCall call =
         new JobCall(
             query.request(),
@@ -221,9 +223,7 @@
             query.queue(),
             query.job(),
             submission,
-            Clocks.monotonicMillis() + query.remainingMillis());
-    long waitMillis =
-        Math.min(query.remainingMillis(), REPLY_TIMEOUT_MILLIS - 2 * RETRY_DELAY_MILLIS);
+            Clocks.monotonicMillis() + waitMillis);
     return encode(query, awaitAnswer(localOwner.get().call(call), waitMillis));
   }
 
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -33,6 +33,7 @@
 final class JobOwner implements AutoCloseable {
   private static final int MAX_QUEUED_EVENTS = 8_192;
   private static final int EVENTS_PER_STEP = 512;
+  private static final int MAX_QUEUED_CALLS = 1_024;
 
   /** Longest sleep of the thread, in milliseconds; the interval of retry and lease checks. */
   private static final long MAX_PARK_MILLIS = 20;
@@ -68,6 +69,7 @@
   private final BooleanSupplier isFollowed;
   private final OwnerPacing pacing = new OwnerPacing();
   private final BoundedRing<OwnerEvent> events = new BoundedRing<>(MAX_QUEUED_EVENTS);
+  private final BoundedRing<QueuedCall> calls = new BoundedRing<>(MAX_QUEUED_CALLS);
   private final Map<Job, List<WaitingCaller>> waitingCallers = new HashMap<>();
   private final ListingUpdates listingUpdates;
   private volatile boolean deposed;
@@ -124,6 +126,10 @@
     while (!closed && !events.offer(event)) {
       LockSupport.parkNanos(1_000_000);
     }
+    wake();
+  }
+
+  private void wake() {
     if (parked) {
       LockSupport.unpark(ownerThread);
     }
@@ -131,19 +137,24 @@
 
   /** Handles a caller's request. The future never completes exceptionally. */
   CompletableFuture<JobAnswer> call(JobCall call) {
-    CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
     if (closed || deposed) {
-      answer.complete(OWNER_CHANGED_ANSWER);
+      return CompletableFuture.completedFuture(OWNER_CHANGED_ANSWER);
+    }
+    QueuedCall queued = new QueuedCall(call);
+    if (calls.offer(queued)) {
+      queued.rejectInTime(Clocks.monotonicMillis());
+      wake();
     } else {
-      post(new OwnerEvent.CallReceived(call, answer));
+      queued.reject();
     }
-    return answer;
+    return queued.answer();
   }
 
   private void step() {
     ownerThread = Thread.currentThread();
-    load.beginRound(events.size());
-    int handled = events.drain(EVENTS_PER_STEP, this::handle);
+    load.beginRound(calls.size() + events.size());
+    int handled = calls.drain(MAX_QUEUED_CALLS, this::handleCall);
+    handled += events.drain(EVENTS_PER_STEP, this::handle);
     load.endPart(OwnerLoad.Part.EVENTS, handled);
     long nowMillis = Clocks.monotonicMillis();
     detectStall(nowMillis);
@@ -189,7 +200,7 @@
 
   private void park() {
     parked = true;
-    if (events.size() == 0) {
+    if (calls.size() == 0 && events.size() == 0) {
       LockSupport.parkNanos(MAX_PARK_MILLIS * 1_000_000);
     }
     parked = false;
@@ -238,8 +249,6 @@
   private void handle(OwnerEvent event) {
     long nowMillis = Clocks.monotonicMillis();
     switch (event) {
-      case OwnerEvent.CallReceived received ->
-          handleCall(received.call(), received.answer(), nowMillis);
       case OwnerEvent.OrderCompleted completed ->
           scheduler.orderCompleted(
               completed.order(), completed.result(), nowMillis, Clocks.wallMillis());
@@ -276,7 +285,13 @@
     return false;
   }
 
-  private void handleCall(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
+  private void handleCall(QueuedCall queued) {
+    if (!queued.take()) {
+      return;
+    }
+    JobCall call = queued.call();
+    CompletableFuture<JobAnswer> answer = queued.answer();
+    long nowMillis = Clocks.monotonicMillis();
     if (deposed) {
       answer.complete(OWNER_CHANGED_ANSWER);
       return;
@@ -396,6 +411,7 @@
       stepThread.close();
     }
     endTerm();
+    calls.drain(MAX_QUEUED_CALLS, this::handleCall);
     events.drain(MAX_QUEUED_EVENTS, this::handle);
   }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerEvent.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerEvent.java
@@ -1,16 +1,11 @@
 package org.lavenderstage.entry.job;
 
-import java.util.concurrent.CompletableFuture;
 import org.lavenderstage.clients.KeyedLog;
-import org.lavenderstage.core.job.JobAnswer;
 import org.lavenderstage.core.pool.Order;
 import org.lavenderstage.core.pool.OrderResult;
 
 /** An event that other threads pass to the owner's thread. */
 sealed interface OwnerEvent {
-  /** A caller's request was received. */
-  record CallReceived(JobCall call, CompletableFuture<JobAnswer> answer) implements OwnerEvent {}
-
   /** An order to a worker has a result. */
   record OrderCompleted(Order order, OrderResult result) implements OwnerEvent {}
 
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -1,14 +1,18 @@
 package org.lavenderstage.entry.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.AbstractList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -71,6 +75,10 @@
   }
 
   private static JobCall submission() {
+    return submission(TIMEOUT_MILLIS);
+  }
+
+  private static JobCall submission(long answerWithinMillis) {
     StepSpec step =
         new StepSpec(
             1, 1_000, 100, 0, 5_000, List.of(), false, false, false, "", "", 0, false, false, "", 0,
@@ -83,7 +91,34 @@
         "queue",
         JOB,
         Optional.of(job),
-        Clocks.monotonicMillis() + TIMEOUT_MILLIS);
+        Clocks.monotonicMillis() + answerWithinMillis);
+  }
+
+  private static JobCall query(JobVerb verb) {
+    return new JobCall(
+        "r", verb, "queue", JOB, Optional.empty(), Clocks.monotonicMillis() + TIMEOUT_MILLIS);
+  }
+
+  /** Starts an owner whose thread blocks in its first order, and waits until it does. */
+  private JobOwner startBlockedOwner(CountDownLatch release) throws InterruptedException {
+    JobOwner owner =
+        startOwner(
+            (order, term) -> {
+              CompletableFuture<OrderResult> answer = recordOrder(order);
+              awaitRelease(release);
+              return answer;
+            },
+            "w1");
+    takeSentOrder();
+    return owner;
+  }
+
+  private static void awaitRelease(CountDownLatch release) {
+    try {
+      assertTrue(release.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Guards against an owner that stops for good after an event that it failed to handle. */
@@ -117,4 +152,51 @@
         "w2");
     assertEquals("w2", takeSentOrder().order().worker().id());
   }
+
+  /** Guards against callers that learn nothing in time, and jobs that are submitted after it. */
+  @Test
+  void submissionThatBusyOwnerCannotHandleInTimeIsRejectedAndHasNoEffect() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    JobOwner owner = startBlockedOwner(release);
+    try {
+      CompletableFuture<JobAnswer> answer = owner.call(submission(300));
+      JobAnswer rejected = answer.get(TIMEOUT_MILLIS / 2, TimeUnit.MILLISECONDS);
+      assertInstanceOf(JobAnswer.Rejected.class, rejected);
+    } finally {
+      release.countDown();
+    }
+    JobAnswer waiting =
+        owner.call(query(JobVerb.WAITING)).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    assertEquals(new JobAnswer.Waiting(0), waiting);
+  }
+
+  /** Guards against callers that wait behind the results of hundreds of orders. */
+  @Test
+  void callsAreHandledBeforeOtherEvents() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch releaseEvent = new CountDownLatch(1);
+    JobOwner owner = startBlockedOwner(release);
+    List<KeyedRecord> slowRecords =
+        new AbstractList<>() {
+          @Override
+          public KeyedRecord get(int index) {
+            awaitRelease(releaseEvent);
+            return worker("w2");
+          }
+
+          @Override
+          public int size() {
+            return 1;
+          }
+        };
+    owner.post(new OwnerEvent.ListingsRead(new TopicReader.Poll.Changes(slowRecords)));
+    CompletableFuture<JobAnswer> answer = owner.call(query(JobVerb.WAITING));
+    release.countDown();
+    try {
+      JobAnswer waiting = answer.get(TIMEOUT_MILLIS / 2, TimeUnit.MILLISECONDS);
+      assertEquals(new JobAnswer.Waiting(0), waiting);
+    } finally {
+      releaseEvent.countDown();
+    }
+  }
 }
