--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
@@ -39,13 +39,15 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String SERVICE = "warmup";
 
-  /** Number of rounds; most methods of an owner are compiled after 200 calls. */
-  private static final int ROUNDS = 250;
+  private static final int ROUNDS = 120;
+
+  /** Number of orders that are sent; methods are compiled after 200 calls. */
+  private static final int MAX_SENT_ORDERS = 250;
 
   private static final int WORKERS = 6;
   private static final int WORKER_CPU_MILLIS = 32_000;
   private static final int WORKER_MEMORY_MB = 64_000;
-  private static final int ROUNDS_PER_JOB = 4;
+  private static final int ROUNDS_PER_JOB = 3;
   private static final int TASKS_PER_STEP = 4;
   private static final int TASK_CPU_MILLIS = 2_000;
   private static final int TASK_MEMORY_MB = 500;
@@ -72,6 +74,7 @@
   private final JobScheduler scheduler =
       new JobScheduler(1, TIMING, RETENTION_MILLIS, (decision, namesAndValues) -> {});
   private long nowMillis = TIMING.leaseMillis();
+  private int sentOrders;
   private int submitted;
   private int completed;
 
@@ -149,7 +152,9 @@
     }
     List<CompletableFuture<OrderResult>> sent = new ArrayList<>();
     for (Order order : scheduler.step(nowMillis, nowMillis)) {
-      sent.add(orders.send(order, 1));
+      if (sentOrders++ < MAX_SENT_ORDERS) {
+        sent.add(orders.send(order, 1));
+      }
       SimulatedWorker worker =
           workers.stream()
               .filter(w -> w.id().equals(order.worker().id()))
