--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -40,6 +40,7 @@
   private boolean inheritedRunsUnknown = true;
   private boolean placementDue = true;
   private long lastPlacementMillis;
+  private long placementRounds;
 
   /**
    * Creates a scheduler without jobs and workers.
@@ -263,6 +264,7 @@
     if (placementDue || nowMillis - lastPlacementMillis >= MAX_PLACEMENT_INTERVAL_MILLIS) {
       placementDue = false;
       lastPlacementMillis = nowMillis;
+      placementRounds++;
       jobs.removeEndedBefore(wallMillis - retentionMillis);
       placement.placeWaitingTasks(inheritedRunsUnknown, nowMillis);
     }
@@ -272,6 +274,11 @@
     return orders;
   }
 
+  /** Returns the number of scheduling rounds so far. */
+  long placementRounds() {
+    return placementRounds;
+  }
+
   private void addRunOrders(Worker worker, long nowMillis, List<Order> orders) {
     for (Run run : worker.runs()) {
       if (!run.isOrderDue(nowMillis)) {
