Compute the work and the deadline of a job once

Cause: each scheduling round computed the work and the soft deadline of each active job anew, with a map and arrays for each, and sorted twice by chained comparators; JobTurns did so for all known jobs. Change: JobEstimate, kept by Job; one sort by a comparison without lambdas, after which jobs with a turn move to the front of their class and priority; one array for the critical paths. The order is the same: the second sort was stable.

--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -12,6 +12,7 @@
  */
 public final class Job {
   private final JobRecord record;
+  private final JobEstimate estimate;
   private final Map<Integer, List<JobStep>> openOccurrences = new HashMap<>();
   private final List<StepProgress> doneOccurrences = new ArrayList<>();
   private JobPhase phase = JobPhase.ACTIVE;
@@ -30,6 +31,7 @@
    */
   public Job(JobRecord record, long monotonicMillis) {
     this.record = record;
+    this.estimate = JobEstimate.of(record);
     this.receivedAtMillis = monotonicMillis;
     if (record.repeatCount() == 0) {
       openOccurrence(0);
@@ -54,6 +56,15 @@
     return record;
   }
 
+  /**
+   * Returns what the estimates of the submission say about one occurrence.
+   *
+   * @return the estimate
+   */
+  public JobEstimate estimate() {
+    return estimate;
+  }
+
   /**
    * Returns the rules of the job's queue as of the acceptance of the job.
    *
--- a/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
@@ -1,11 +1,13 @@
 package org.lavenderstage.core.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobEstimate;
 import org.lavenderstage.core.job.JobRecord;
 import org.lavenderstage.core.job.JobStep;
 import org.lavenderstage.core.job.StepSpec;
@@ -44,11 +46,14 @@
   private final Map<String, MeanWork> meanWorkByQueue = new HashMap<>();
   private final JobTurns turns = new JobTurns();
 
+  /** Lengths of the critical paths to the ends of the steps of a job, reused for all jobs. */
+  private long[] pathMillis = new long[0];
+
   /** Adds a job to the mean work of its queue. */
   void recordSubmission(JobRecord record) {
     meanWorkByQueue
         .computeIfAbsent(record.rules().queue(), key -> new MeanWork())
-        .add(work(record));
+        .add(JobEstimate.of(record).workCoreMillis());
   }
 
   /** Returns the active jobs, the highest rank first. */
@@ -57,15 +62,34 @@
     for (Job job : jobs.active()) {
       ranked.add(evaluate(job, nowMillis));
     }
-    ranked.sort(Ranked.BY_RANK);
+    Collections.sort(ranked);
     turns.removeExpired(nowMillis);
     if (turns.isReviewDue(nowMillis)) {
       List<Job> candidates =
           ranked.stream().filter(Ranked::isEligibleForTurn).map(Ranked::job).toList();
       turns.review(jobs.all(), candidates, nowMillis);
     }
-    ranked.sort(Ranked.BY_CLASS_AND_PRIORITY.thenComparing(r -> !turns.hasTurn(r.job())));
-    return ranked.stream().map(Ranked::job).toList();
+    return turnsFirst(ranked);
+  }
+
+  /** Moves the jobs that have a turn to the front of their class and priority. */
+  private List<Job> turnsFirst(List<Ranked> ranked) {
+    List<Job> sorted = new ArrayList<>(ranked.size());
+    if (turns.isEmpty()) {
+      ranked.forEach(r -> sorted.add(r.job()));
+      return sorted;
+    }
+    List<Job> withoutTurn = new ArrayList<>();
+    for (int i = 0; i < ranked.size(); i++) {
+      Ranked current = ranked.get(i);
+      if (i > 0 && !current.isOfSameClassAndPriority(ranked.get(i - 1))) {
+        sorted.addAll(withoutTurn);
+        withoutTurn.clear();
+      }
+      (turns.hasTurn(current.job()) ? sorted : withoutTurn).add(current.job());
+    }
+    sorted.addAll(withoutTurn);
+    return sorted;
   }
 
   private Ranked evaluate(Job job, long nowMillis) {
@@ -76,9 +100,9 @@
       StepSpec spec = step.spec();
       longRunning |= spec.lasting();
       interrupted |= spec.lasting() && hasInterruptedTask(step, nowMillis);
-      remainingWork += cores(spec) * spec.estimateMillis() * step.remainingCount();
+      remainingWork += JobEstimate.taskWorkCoreMillis(spec) * step.remainingCount();
     }
-    long softDeadline = softDeadlineMillis(job.record());
+    long softDeadline = job.estimate().softDeadlineMillis();
     long expectedEnd = nowMillis + remainingCriticalPathMillis(job);
     long slackMillis = job.receivedAtMillis() + softDeadline - expectedEnd;
     Lateness lateness =
@@ -93,7 +117,7 @@
         interrupted
             ? RankClass.INTERRUPTED
             : urgent ? RankClass.URGENT : longRunning ? RankClass.LASTING : RankClass.OTHER;
-    double valueDensity = value(job.record()) / remainingWork;
+    double valueDensity = value(job) / remainingWork;
     return new Ranked(job, rankClass, priority, lateness, urgent ? -slackMillis : valueDensity);
   }
 
@@ -106,65 +130,39 @@
     return false;
   }
 
-  private double value(JobRecord record) {
-    MeanWork mean = meanWorkByQueue.get(record.rules().queue());
-    double relativeWork = mean == null || mean.mean() == 0 ? 1 : work(record) / mean.mean();
+  private double value(Job job) {
+    MeanWork mean = meanWorkByQueue.get(job.rules().queue());
+    double relativeWork =
+        mean == null || mean.mean() == 0 ? 1 : job.estimate().workCoreMillis() / mean.mean();
     return Math.min(MAX_VALUE, FIXED_VALUE + VALUE_BY_WORK * relativeWork);
   }
 
-  /** Returns the estimated work of a job, in core-milliseconds. */
-  static double work(JobRecord record) {
-    double sum = 0;
-    for (StepSpec spec : record.steps()) {
-      sum += cores(spec) * spec.estimateMillis() * spec.count();
-    }
-    return sum;
-  }
-
-  private static double cores(StepSpec spec) {
-    return spec.cpuMillis() / 1000.0;
-  }
-
-  /** Returns the time from its acceptance until which a job has its full value, in milliseconds. */
-  static long softDeadlineMillis(JobRecord record) {
-    long[] pathMillis = new long[record.steps().size()];
-    long longest = 0;
-    for (int i = 0; i < pathMillis.length; i++) {
-      pathMillis[i] =
-          pathBeforeMillis(record.steps().get(i), pathMillis)
-              + record.steps().get(i).estimateMillis();
-      longest = Math.max(longest, pathMillis[i]);
-    }
-    return Math.round(record.rules().slackFactor() * longest) + record.rules().targetMillis();
-  }
-
   /** Returns the time from its acceptance until which a job has any value, in milliseconds. */
-  static long hardDeadlineMillis(JobRecord record) {
-    return HARD_DEADLINE_FACTOR * softDeadlineMillis(record);
+  static long hardDeadlineMillis(Job job) {
+    return HARD_DEADLINE_FACTOR * job.estimate().softDeadlineMillis();
   }
 
-  private static long remainingCriticalPathMillis(Job job) {
+  private long remainingCriticalPathMillis(Job job) {
+    int stepCount = job.record().steps().size();
+    if (pathMillis.length < stepCount) {
+      pathMillis = new long[stepCount];
+    }
     long longest = 0;
-    Map<Integer, long[]> pathsByOccurrence = new HashMap<>();
+    int occurrence = -1;
+    // The steps of an occurrence follow each other.
     for (JobStep step : job.openSteps()) {
-      long[] pathMillis =
-          pathsByOccurrence.computeIfAbsent(
-              step.occurrence(), key -> new long[job.record().steps().size()]);
+      if (step.occurrence() != occurrence) {
+        occurrence = step.occurrence();
+        Arrays.fill(pathMillis, 0, stepCount, 0);
+      }
       long stepMillis = step.isDone() ? 0 : step.spec().estimateMillis();
-      pathMillis[step.number()] = pathBeforeMillis(step.spec(), pathMillis) + stepMillis;
+      pathMillis[step.number()] =
+          JobEstimate.pathBeforeMillis(step.spec(), pathMillis) + stepMillis;
       longest = Math.max(longest, pathMillis[step.number()]);
     }
     return longest;
   }
 
-  private static long pathBeforeMillis(StepSpec spec, long[] pathMillis) {
-    long before = 0;
-    for (int dependency : spec.dependsOn()) {
-      before = Math.max(before, pathMillis[dependency]);
-    }
-    return before;
-  }
-
   /** The mean work of the jobs of one queue, in core-milliseconds. */
   private static final class MeanWork {
     private double sum;
@@ -199,18 +197,29 @@
   }
 
   /** A job with the attributes that determine its rank; a higher score ranks higher. */
-  private record Ranked(
-      Job job, RankClass rankClass, int priority, Lateness lateness, double score) {
-    static final Comparator<Ranked> BY_CLASS_AND_PRIORITY =
-        Comparator.comparing(Ranked::rankClass).thenComparingInt(Ranked::priority);
-
-    static final Comparator<Ranked> BY_RANK =
-        BY_CLASS_AND_PRIORITY
-            .thenComparing(Ranked::lateness)
-            .thenComparing(Comparator.comparingDouble(Ranked::score).reversed());
-
+  private record Ranked(Job job, RankClass rankClass, int priority, Lateness lateness, double score)
+      implements Comparable<Ranked> {
     boolean isEligibleForTurn() {
       return rankClass == RankClass.OTHER && lateness == Lateness.ON_TIME;
     }
+
+    boolean isOfSameClassAndPriority(Ranked other) {
+      return rankClass == other.rankClass && priority == other.priority;
+    }
+
+    /** Compares two jobs by rank; the one that ranks higher comes first. */
+    @Override
+    public int compareTo(Ranked other) {
+      if (rankClass != other.rankClass) {
+        return rankClass.compareTo(other.rankClass);
+      }
+      if (priority != other.priority) {
+        return Integer.compare(priority, other.priority);
+      }
+      if (lateness != other.lateness) {
+        return lateness.compareTo(other.lateness);
+      }
+      return Double.compare(other.score, score);
+    }
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/JobTurns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTurns.java
@@ -58,6 +58,11 @@
   /** A job and its work in core-milliseconds. */
   private record SizedJob(Job job, double work) {}
 
+  /** Returns whether no job has its turn. */
+  boolean isEmpty() {
+    return turns.isEmpty();
+  }
+
   /** Returns whether a job has its turn. */
   boolean hasTurn(Job job) {
     return turns.contains(job);
@@ -87,7 +92,7 @@
     Map<Job, Boolean> completed = new HashMap<>();
     Map<String, List<SizedJob>> byQueue = new HashMap<>();
     for (Job job : allJobs) {
-      SizedJob sized = new SizedJob(job, JobRanking.work(job.record()));
+      SizedJob sized = new SizedJob(job, job.estimate().workCoreMillis());
       if (isRecent(job, nowMillis) && isCounted(sized)) {
         byQueue.computeIfAbsent(job.rules().queue(), key -> new ArrayList<>()).add(sized);
         if (job.phase() == JobPhase.COMPLETED) {
@@ -101,11 +106,11 @@
   }
 
   private static boolean isBeforeHardDeadline(Job job, long nowMillis) {
-    return nowMillis - job.receivedAtMillis() <= JobRanking.hardDeadlineMillis(job.record());
+    return nowMillis - job.receivedAtMillis() <= JobRanking.hardDeadlineMillis(job);
   }
 
   private static boolean isRecent(Job job, long nowMillis) {
-    long hardDeadline = JobRanking.hardDeadlineMillis(job.record());
+    long hardDeadline = JobRanking.hardDeadlineMillis(job);
     return nowMillis - job.receivedAtMillis()
         <= Math.max(MIN_WINDOW_MILLIS, WINDOW_TO_HARD_DEADLINE_RATIO * hardDeadline);
   }
--- a/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/JobTurnsTest.java
@@ -182,7 +182,7 @@
             .filter(
                 job ->
                     job.endedAtMillis() - job.receivedAtMillis()
-                        <= JobRanking.hardDeadlineMillis(job.record()))
+                        <= JobRanking.hardDeadlineMillis(job))
             .count();
     return (double) done / jobs.size();
   }
