Look only at workers with an order due

Cause: each step of the owner copied the runs of every worker to find those that are to be started or stopped. Change: RunsAwaitingOrder keeps the runs that are starting or stopping; only workers with one of them that is due are visited, in the same order as before, so that the same orders follow.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.JobRecord;
@@ -309,8 +310,14 @@
   }
 
   private void addRunOrders(long nowMillis, List<Order> orders) {
+    Set<String> due = runs.awaitingOrder.dueWorkers(nowMillis);
+    if (due.isEmpty()) {
+      return;
+    }
     for (Worker worker : workers.all()) {
-      addRunOrders(worker, nowMillis, orders);
+      if (due.contains(worker.id())) {
+        addRunOrders(worker, nowMillis, orders);
+      }
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -213,7 +213,7 @@
     List<Run> allocated = mayStart ? allocateAll(waiting, selector, nowMillis) : List.of();
     for (Run run : allocated) {
       Worker worker = workers.find(run.worker()).orElseThrow();
-      RunTracker.release(worker, run);
+      runs.release(worker, run);
       selector.invalidate(worker);
     }
     if (allocated.size() < waiting.size()) {
@@ -276,7 +276,7 @@
 
   private Run startRun(Task task, Worker worker, int attempt, long nowMillis) {
     Run run = new Run(task, attempt, worker.id(), Run.State.STARTING, nowMillis);
-    RunTracker.track(worker, run);
+    runs.track(worker, run);
     log.record(
         Decision.RUN_ORDERED,
         "task",
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -41,6 +41,7 @@
 
   private final JobTable jobs;
   private final DecisionLog log;
+  final RunsAwaitingOrder awaitingOrder = new RunsAwaitingOrder();
   private boolean fenced;
 
   RunTracker(JobTable jobs, DecisionLog log) {
@@ -166,6 +167,7 @@
     }
     logRun(Decision.RUN_STOPPED, run, "why", explanation);
     run.changeState(Run.State.STOPPING, nowMillis);
+    awaitingOrder.add(run);
   }
 
   /** Handles the report to a poll sent at a monotonic time; adds orders to stop untracked runs. */
@@ -419,8 +421,9 @@
     }
   }
 
-  static void track(Worker worker, Run run) {
+  void track(Worker worker, Run run) {
     reserve(worker, run);
+    awaitingOrder.add(run);
     run.task().step().job().markBegun();
   }
 
@@ -439,7 +442,8 @@
   }
 
   /** Stops tracking a run, and frees its resources. */
-  static void release(Worker worker, Run run) {
+  void release(Worker worker, Run run) {
+    awaitingOrder.remove(run);
     worker.remove(run);
     run.task().runs().remove(run);
   }
