Search for workers without copying lists

Cause: for each waiting step a round made two lists, the search made a stream for each worker, preemption copied and sorted the runs of each worker, and the state of a worker's serving tasks copied them twice. Change: steps without long-running tasks are placed from their own list, and runs are iterated in place, in the same order.

--- a/core/src/main/java/org/lavenderstage/core/pool/BestEffortInterference.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/BestEffortInterference.java
@@ -203,27 +203,37 @@
    *     the worker has no serving task
    */
   double margin(Worker worker, double headroom, long nowMillis) {
+    if (!worker.isServing()) {
+      return 1;
+    }
     double minFree = 1;
-    List<Run> runs = worker.runs();
-    for (Run run : runs) {
+    List<Run> serving = new ArrayList<>();
+    List<Run> bestEffort = new ArrayList<>();
+    for (List<Run> runsOfTask : worker.runsByTask()) {
+      for (Run run : runsOfTask) {
+        StepSpec spec = run.task().step().spec();
+        if (spec.filling()) {
+          bestEffort.add(run);
+        } else if (Worker.serves(spec)) {
+          serving.add(run);
+        }
+      }
+    }
+    for (Run run : serving) {
       JobStep step = run.task().step();
       StepSpec spec = step.spec();
-      if (Worker.serves(spec)) {
-        double addedSum = addedByAll(spec, runs, worker, nowMillis);
-        double free = utilizationLimit(spec) * (1 - headroom) - baseUtilization(step) - addedSum;
-        minFree = Math.min(minFree, free);
-      }
+      double addedSum = addedByAll(spec, bestEffort, worker, nowMillis);
+      double free = utilizationLimit(spec) * (1 - headroom) - baseUtilization(step) - addedSum;
+      minFree = Math.min(minFree, free);
     }
     return minFree;
   }
 
-  private double addedByAll(StepSpec serving, List<Run> runs, Worker worker, long nowMillis) {
+  private double addedByAll(StepSpec serving, List<Run> bestEffort, Worker worker, long nowMillis) {
     double sum = 0;
-    for (Run run : runs) {
+    for (Run run : bestEffort) {
       StepSpec spec = run.task().step().spec();
-      if (spec.filling()) {
-        sum += addedBy(serving, spec, worker, nowMillis) * run.speedLimitPercent() / 100.0;
-      }
+      sum += addedBy(serving, spec, worker, nowMillis) * run.speedLimitPercent() / 100.0;
     }
     return sum;
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -119,6 +119,10 @@
       Map<SearchKey, Long> longestPlaceableMillis,
       boolean inheritancePending,
       long nowMillis) {
+    if (!inheritancePending && !step.spec().gang() && !step.spec().lasting()) {
+      placeTasksInOrder(step.tasks(), selector, longestPlaceableMillis, nowMillis);
+      return;
+    }
     List<Task> waiting = new ArrayList<>();
     List<Task> interrupted = new ArrayList<>();
     for (Task task : step.tasks()) {
@@ -148,8 +152,18 @@
       placeGang(step, waiting, selector, nowMillis);
       return;
     }
-    for (Task task : waiting) {
-      if (!placeTask(task, selector, longestPlaceableMillis, nowMillis)) {
+    placeTasksInOrder(waiting, selector, longestPlaceableMillis, nowMillis);
+  }
+
+  /** Places the tasks that wait, up to the first that does not fit. */
+  private void placeTasksInOrder(
+      List<Task> tasks,
+      WorkerSelector selector,
+      Map<SearchKey, Long> longestPlaceableMillis,
+      long nowMillis) {
+    for (Task task : tasks) {
+      if (task.isWaiting(nowMillis)
+          && !placeTask(task, selector, longestPlaceableMillis, nowMillis)) {
         return;
       }
     }
@@ -317,15 +331,20 @@
   private static List<Run> victims(Worker worker, Task task) {
     int priority = task.step().job().rules().priority();
     List<Run> candidates = new ArrayList<>();
-    for (Run run : worker.runs()) {
-      StepSpec spec = run.task().step().spec();
-      if (run.state() == Run.State.RUNNING
-          && run.task().step().job().rules().priority() > priority
-          && spec.checkpointing()
-          && !spec.gang()) {
-        candidates.add(run);
+    for (List<Run> runsOfTask : worker.runsByTask()) {
+      for (Run run : runsOfTask) {
+        StepSpec spec = run.task().step().spec();
+        if (run.state() == Run.State.RUNNING
+            && run.task().step().job().rules().priority() > priority
+            && spec.checkpointing()
+            && !spec.gang()) {
+          candidates.add(run);
+        }
       }
     }
+    if (candidates.isEmpty()) {
+      return List.of();
+    }
     candidates.sort((a, b) -> Integer.compare(cpu(b), cpu(a)));
     List<Run> victims = new ArrayList<>();
     var available = worker.free();
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -326,6 +326,10 @@
     return all;
   }
 
+  Iterable<List<Run>> runsByTask() {
+    return runs.values();
+  }
+
   /** Returns whether the worker's next report decides what happened to a run. */
   boolean hasRunsWithUnknownOutcome() {
     return runs.values().stream().flatMap(List::stream).anyMatch(Run::isOutcomeUnknown);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -207,12 +208,14 @@
   private ServingState computeServingState(Worker worker) {
     Map<String, StepSpec> images = new HashMap<>();
     double unused = worker.idleCpuMillis();
-    for (Run run : worker.runs()) {
-      JobStep step = run.task().step();
-      StepSpec spec = step.spec();
-      if (Worker.serves(spec)) {
-        images.put(spec.image(), spec);
-        unused += spec.cpuMillis() * (1 - interference.baseUtilization(step));
+    for (List<Run> runsOfTask : worker.runsByTask()) {
+      for (Run run : runsOfTask) {
+        JobStep step = run.task().step();
+        StepSpec spec = step.spec();
+        if (Worker.serves(spec)) {
+          images.put(spec.image(), spec);
+          unused += spec.cpuMillis() * (1 - interference.baseUtilization(step));
+        }
       }
     }
     double margin = interference.margin(worker, HEADROOM, nowMillis);
@@ -277,7 +280,16 @@
     WorkerListing listing = worker.listing().orElseThrow();
     return matches(listing, step.job().rules().service(), spec.requiredLabel())
         && (spec.maxPerWorker() == 0 || worker.countOf(step) < spec.maxPerWorker())
-        && task.runs().stream().noneMatch(run -> run.worker().equals(worker.id()));
+        && !hasRunOn(worker, task);
+  }
+
+  private static boolean hasRunOn(Worker worker, Task task) {
+    for (Run run : task.runs()) {
+      if (run.worker().equals(worker.id())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Counts the workers by whether the task fits there and, if not, by the first reason. */
