Open due occurrences of repeated jobs only

Change: JobTable keeps the repeated jobs, Job the next occurrence, the numbers of the done ones and the list of open steps.

--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -1,10 +1,13 @@
 package org.lavenderstage.core.job;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A submitted job with its progress, in memory and as far as it is stored. An occurrence is created
@@ -15,6 +18,9 @@
   private final JobEstimate estimate;
   private final Map<Integer, List<JobStep>> openOccurrences = new HashMap<>();
   private final List<StepProgress> doneOccurrences = new ArrayList<>();
+  private final Set<Integer> doneOccurrenceNumbers = new HashSet<>();
+  private List<JobStep> openSteps = List.of();
+  private int nextDueOccurrence;
   private JobPhase phase = JobPhase.ACTIVE;
   private JobPhase storedPhase = JobPhase.ACTIVE;
   private boolean stored;
@@ -174,9 +180,11 @@
    * @param wallMillis wall-clock time in milliseconds since 1970
    */
   public void openDueOccurrences(long wallMillis) {
-    for (int k = 0; k < record.repeatCount() && dueAtMillis(k) <= wallMillis; k++) {
-      if (!openOccurrences.containsKey(k) && !isOccurrenceDone(k)) {
-        openOccurrence(k);
+    while (nextDueOccurrence < record.repeatCount()
+        && dueAtMillis(nextDueOccurrence) <= wallMillis) {
+      int occurrence = nextDueOccurrence++;
+      if (!openOccurrences.containsKey(occurrence) && !isOccurrenceDone(occurrence)) {
+        openOccurrence(occurrence);
       }
     }
   }
@@ -186,7 +194,7 @@
   }
 
   private boolean isOccurrenceDone(int occurrence) {
-    return doneOccurrences.stream().anyMatch(p -> p.occurrence() == occurrence);
+    return doneOccurrenceNumbers.contains(occurrence);
   }
 
   private void openOccurrence(int occurrence) {
@@ -195,20 +203,27 @@
       steps.forEach(step -> step.tasks().forEach(Task::setInherited));
     }
     openOccurrences.put(occurrence, steps);
+    updateOpenSteps();
+  }
+
+  private void updateOpenSteps() {
+    List<JobStep> steps = new ArrayList<>();
+    openOccurrences.values().forEach(steps::addAll);
+    openSteps = Collections.unmodifiableList(steps);
+  }
+
+  private void recordOccurrenceDone(StepProgress progress) {
+    doneOccurrences.add(progress);
+    doneOccurrenceNumbers.add(progress.occurrence());
   }
 
   /**
-   * Returns the steps of all open occurrences.
+   * Returns the steps of all open occurrences, those of an occurrence next to each other.
    *
-   * @return the steps
+   * @return the steps, unmodifiable
    */
   public List<JobStep> openSteps() {
-    if (openOccurrences.size() == 1) {
-      return openOccurrences.values().iterator().next();
-    }
-    List<JobStep> all = new ArrayList<>();
-    openOccurrences.values().forEach(all::addAll);
-    return all;
+    return openSteps;
   }
 
   /**
@@ -258,9 +273,10 @@
       return;
     }
     if (record.repeatCount() > 0) {
-      doneOccurrences.add(
+      recordOccurrenceDone(
           new StepProgress(step.occurrence(), -1, new byte[0], List.of(), List.of(), new byte[0]));
       openOccurrences.remove(step.occurrence());
+      updateOpenSteps();
     }
     if (doneOccurrences.size() >= record.repeatCount()) {
       end(JobPhase.COMPLETED, wallMillis);
@@ -308,7 +324,7 @@
   public void restore(ProgressRecord progress, long wallMillis) {
     phase = progress.phase();
     endedAtMillis = progress.endedAtMillis();
-    progress.steps().stream().filter(p -> p.step() < 0).forEach(doneOccurrences::add);
+    progress.steps().stream().filter(p -> p.step() < 0).forEach(this::recordOccurrenceDone);
     openDueOccurrences(wallMillis);
     for (StepProgress step : progress.steps()) {
       if (step.step() >= 0) {
@@ -319,6 +335,7 @@
             .restore(step);
       }
     }
+    updateOpenSteps();
   }
 
   private List<JobStep> newSteps(int occurrence) {
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -254,7 +254,7 @@
     }
     List<Order> orders = new ArrayList<>(readyOrders);
     readyOrders.clear();
-    jobs.active().forEach(job -> job.openDueOccurrences(wallMillis));
+    jobs.openDueOccurrences(wallMillis);
     workers.step(nowMillis, orders);
     if (inheritedRunsUnknown && !workers.mayHaveUnreportedRuns(nowMillis)) {
       inheritedRunsUnknown = false;
--- a/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
@@ -21,6 +21,10 @@
 final class JobTable {
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Job> active = new LinkedHashMap<>();
+
+  /** The active jobs whose steps run several times. */
+  private final Set<Job> repeated = new LinkedHashSet<>();
+
   private final Set<Job> unstoredJobs = new LinkedHashSet<>();
   private final Set<Job> unstoredProgress = new LinkedHashSet<>();
   private final List<StoredChange> removals = new ArrayList<>();
@@ -43,10 +47,27 @@
     return active.values();
   }
 
+  /** Opens the due occurrences of the active jobs. */
+  void openDueOccurrences(long wallMillis) {
+    repeated.forEach(job -> job.openDueOccurrences(wallMillis));
+  }
+
+  private void addActive(Job job) {
+    active.put(job.id(), job);
+    if (job.record().repeatCount() > 0) {
+      repeated.add(job);
+    }
+  }
+
+  private void removeActive(Job job) {
+    active.remove(job.id());
+    repeated.remove(job);
+  }
+
   Job submit(JobRecord record, long monotonicMillis) {
     Job job = new Job(record, monotonicMillis);
     jobs.put(record.job(), job);
-    active.put(record.job(), job);
+    addActive(job);
     unstoredJobs.add(job);
     return job;
   }
@@ -56,7 +77,7 @@
     List<Job> withdrawn = List.copyOf(unstoredJobs);
     for (Job job : withdrawn) {
       jobs.remove(job.id());
-      active.remove(job.id());
+      removeActive(job);
       unstoredProgress.remove(job);
     }
     unstoredJobs.clear();
@@ -75,7 +96,7 @@
     if (job.phase() == JobPhase.ACTIVE) {
       job.openDueOccurrences(wallMillis);
       job.markInherited();
-      active.put(record.job(), job);
+      addActive(job);
     }
   }
 
@@ -83,7 +104,7 @@
   void markProgressChanged(Job job) {
     unstoredProgress.add(job);
     if (job.phase() != JobPhase.ACTIVE) {
-      active.remove(job.id());
+      removeActive(job);
     }
   }
 
