Look for ended jobs to remove once a second

Cause: each scheduling round visited all known jobs, ended ones of the last three minutes included, to find those to remove. Change: once a second; they are kept 60 s longer than guaranteed.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -25,6 +25,9 @@
   /** How long an ended job is kept beyond the guaranteed retention, in milliseconds. */
   private static final long RETENTION_SLACK_MILLIS = 60_000;
 
+  /** Time between two searches for ended jobs to remove, in milliseconds. */
+  private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
+
   private final JobTable jobs = new JobTable();
   private final JobRanking ranking = new JobRanking();
   private final BestEffortInterference interference = new BestEffortInterference();
@@ -38,6 +41,7 @@
   private final List<Order> readyOrders = new ArrayList<>();
   private boolean inheritedRunsUnknown = true;
   private long placementRounds;
+  private long nextRemovalMillis = Long.MIN_VALUE;
 
   /**
    * Creates a scheduler without jobs and workers.
@@ -288,7 +292,10 @@
     }
     pacer.recordStart(nowMillis);
     placementRounds++;
-    jobs.removeEndedBefore(wallMillis - retentionMillis);
+    if (nowMillis >= nextRemovalMillis) {
+      nextRemovalMillis = nowMillis + REMOVAL_INTERVAL_MILLIS;
+      jobs.removeEndedBefore(wallMillis - retentionMillis);
+    }
     placement.placeWaitingTasks(inheritedRunsUnknown, nowMillis);
     List<Order> orders = new ArrayList<>();
     addRunOrders(nowMillis, orders);
