Determine the racks of a step once for each search

Cause: for a step whose tasks prefer one rack the racks in use were determined up to twice for each worker where a task fits, by a search over all workers for each run. Change: once for each search.

--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -134,6 +134,7 @@
     int fittingCount = 0;
     long longestRunMillis = -1;
     StepSpec spec = task.step().spec();
+    Set<String> usedRacks = spec.sameRack() ? racksOf(task.step()) : Set.of();
     for (Worker worker : workers) {
       Fit fit = fit(worker, task);
       if (fit == Fit.KEPT && !spec.lasting()) {
@@ -143,7 +144,7 @@
       if (fit == Fit.FITS) {
         Resources doubleDemand = Worker.demand(spec).plus(Worker.demand(spec));
         fittingCount += doubleDemand.fitsIn(worker.free()) ? 2 : 1;
-        long cost = cost(worker, task.step()) + reservationCost(worker, task);
+        long cost = cost(worker, spec, usedRacks) + reservationCost(worker, task);
         if (cost < minCost) {
           minCost = cost;
           best = worker;
@@ -362,15 +363,14 @@
     return usesReservation ? RESERVATION_COST : 0;
   }
 
-  private long cost(Worker worker, JobStep step) {
-    StepSpec spec = step.spec();
+  private long cost(Worker worker, StepSpec spec, Set<String> usedRacks) {
     long cost = spec.filling() ? bestEffortCost(worker, spec) : guaranteedCost(worker, spec);
     cost += worker.history().isSuspect() ? SUSPECT_PENALTY : 0;
     String rack = worker.listing().map(WorkerListing::rack).orElse("");
     if (!spec.dataRack().isEmpty() && !spec.dataRack().equals(rack)) {
       cost += FAR_RACK_PENALTY;
     }
-    if (spec.sameRack() && !racksOf(step).isEmpty() && !racksOf(step).contains(rack)) {
+    if (!usedRacks.isEmpty() && !usedRacks.contains(rack)) {
       cost += FAR_RACK_PENALTY;
     }
     if (Worker.serves(spec) && !worker.isServing(spec.image())) {
@@ -403,6 +403,7 @@
     return -unused - Math.round(INTERFERENCE_COST * remainingUtilization(spec, worker));
   }
 
+  /** Returns the racks of the workers that have runs of a step. */
   private Set<String> racksOf(JobStep step) {
     Set<String> racks = new HashSet<>();
     for (Task task : step.tasks()) {
