--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.JobRecord;
@@ -24,8 +25,8 @@
   /** How long an ended job is kept beyond the guaranteed retention, in milliseconds. */
   private static final long RETENTION_SLACK_MILLIS = 60_000;
 
-  /** Longest time between two scheduling rounds while nothing changes, in milliseconds. */
-  private static final long MAX_PLACEMENT_INTERVAL_MILLIS = 50;
+  /** Time between two searches for ended jobs to remove, in milliseconds. */
+  private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
 
   private final JobTable jobs = new JobTable();
   private final JobRanking ranking = new JobRanking();
@@ -36,11 +37,12 @@
   private final InterferenceController interferenceController;
   private final DecisionLog log;
   private final long retentionMillis;
+  private final PlacementPacer pacer = new PlacementPacer();
   private final List<Order> readyOrders = new ArrayList<>();
   private boolean inheritedRunsUnknown = true;
-  private boolean placementDue = true;
-  private long lastPlacementMillis;
   private long lastBatchMillis = Long.MIN_VALUE / 2;
+  private long placementRounds;
+  private long nextRemovalMillis = Long.MIN_VALUE;
 
   /**
    * Creates a scheduler without jobs and workers.
@@ -198,7 +200,9 @@
    * @param wallMillis wall-clock time in milliseconds since 1970
    */
   public void orderCompleted(Order sent, OrderResult result, long nowMillis, long wallMillis) {
-    placementDue |= !(result instanceof OrderResult.Accepted);
+    if (!(result instanceof OrderResult.Accepted)) {
+      pacer.recordChange();
+    }
     switch (sent) {
       case Order.Start start ->
           runs.handleStartResult(start.worker(), start.run(), result, nowMillis);
@@ -242,7 +246,7 @@
   }
 
   /**
-   * Makes the decisions that are due.
+   * Makes the decisions that are due, except the placement of tasks.
    *
    * @param nowMillis monotonic time in milliseconds
    * @param wallMillis wall-clock time in milliseconds since 1970
@@ -255,22 +259,74 @@
     }
     List<Order> orders = new ArrayList<>(readyOrders);
     readyOrders.clear();
-    jobs.active().forEach(job -> job.openDueOccurrences(wallMillis));
+    jobs.openDueOccurrences(wallMillis);
     workers.step(nowMillis, orders);
     if (inheritedRunsUnknown && !workers.mayHaveUnreportedRuns(nowMillis)) {
       inheritedRunsUnknown = false;
       log.record(Decision.INHERITANCE_SETTLED, "jobs", jobs.size());
     }
-    if (placementDue || nowMillis - lastPlacementMillis >= MAX_PLACEMENT_INTERVAL_MILLIS) {
-      placementDue = false;
-      lastPlacementMillis = nowMillis;
+    addRunOrders(nowMillis, orders);
+    return orders;
+  }
+
+  /**
+   * Returns when tasks are to be placed next.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the time until the next scheduling round is due, in milliseconds; 0 if it is due now
+   */
+  public long millisUntilPlacement(long nowMillis) {
+    return pacer.millisUntilDue(nowMillis);
+  }
+
+  /**
+   * Places the waiting tasks if a scheduling round is due. A round takes long if many jobs wait, so
+   * the orders of {@link #step} are to be sent before.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @param wallMillis wall-clock time in milliseconds since 1970
+   * @return orders to send now
+   */
+  public List<Order> placeTasks(long nowMillis, long wallMillis) {
+    if (isFenced() || pacer.millisUntilDue(nowMillis) > 0) {
+      return List.of();
+    }
+    pacer.recordStart(nowMillis);
+    placementRounds++;
+    if (nowMillis >= nextRemovalMillis) {
+      nextRemovalMillis = nowMillis + REMOVAL_INTERVAL_MILLIS;
       jobs.removeEndedBefore(wallMillis - retentionMillis);
-      placement.placeWaitingTasks(inheritedRunsUnknown, nowMillis);
+    }
+    placement.placeWaitingTasks(inheritedRunsUnknown, nowMillis);
+    List<Order> orders = new ArrayList<>();
+    addRunOrders(nowMillis, orders);
+    return orders;
+  }
+
+  /**
+   * Records the end of a scheduling round, whose duration determines the pause before the next one.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void recordPlacementEnd(long nowMillis) {
+    pacer.recordEnd(nowMillis);
+  }
+
+  /** Returns the number of scheduling rounds so far. */
+  long placementRounds() {
+    return placementRounds;
+  }
+
+  private void addRunOrders(long nowMillis, List<Order> orders) {
+    Set<String> due = runs.awaitingOrder.dueWorkers(nowMillis);
+    if (due.isEmpty()) {
+      return;
     }
     for (Worker worker : workers.all()) {
-      addRunOrders(worker, nowMillis, orders);
+      if (due.contains(worker.id())) {
+        addRunOrders(worker, nowMillis, orders);
+      }
     }
-    return orders;
   }
 
   private void addRunOrders(Worker worker, long nowMillis, List<Order> orders) {
@@ -322,7 +378,7 @@
    * @param nowMillis monotonic time in milliseconds
    */
   public void batchStored(JournalBatch batch, long nowMillis) {
-    placementDue = true;
+    pacer.recordChange();
     batch.phases().forEach(Job::markStored);
     batch.storedEnds().forEach(ends -> workers.handleStoredEnds(ends, nowMillis));
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -133,6 +134,7 @@
     int fittingCount = 0;
     long longestRunMillis = -1;
     StepSpec spec = task.step().spec();
+    Set<String> usedRacks = spec.sameRack() ? racksOf(task.step()) : Set.of();
     for (Worker worker : workers) {
       Fit fit = fit(worker, task);
       if (fit == Fit.KEPT && !spec.lasting()) {
@@ -142,7 +144,7 @@
       if (fit == Fit.FITS) {
         Resources doubleDemand = Worker.demand(spec).plus(Worker.demand(spec));
         fittingCount += doubleDemand.fitsIn(worker.free()) ? 2 : 1;
-        long cost = cost(worker, task.step()) + reservationCost(worker, task);
+        long cost = cost(worker, spec, usedRacks) + reservationCost(worker, task);
         if (cost < minCost) {
           minCost = cost;
           best = worker;
@@ -207,12 +209,14 @@
   private ServingState computeServingState(Worker worker) {
     Map<String, StepSpec> images = new HashMap<>();
     double unused = worker.idleCpuMillis();
-    for (Run run : worker.runs()) {
-      JobStep step = run.task().step();
-      StepSpec spec = step.spec();
-      if (Worker.serves(spec)) {
-        images.put(spec.image(), spec);
-        unused += spec.cpuMillis() * (1 - interference.baseUtilization(step));
+    for (List<Run> runsOfTask : worker.runsByTask()) {
+      for (Run run : runsOfTask) {
+        JobStep step = run.task().step();
+        StepSpec spec = step.spec();
+        if (Worker.serves(spec)) {
+          images.put(spec.image(), spec);
+          unused += spec.cpuMillis() * (1 - interference.baseUtilization(step));
+        }
       }
     }
     double margin = interference.margin(worker, HEADROOM, nowMillis);
@@ -277,7 +281,16 @@
     WorkerListing listing = worker.listing().orElseThrow();
     return matches(listing, step.job().rules().service(), spec.requiredLabel())
         && (spec.maxPerWorker() == 0 || worker.countOf(step) < spec.maxPerWorker())
-        && task.runs().stream().noneMatch(run -> run.worker().equals(worker.id()));
+        && !hasRunOn(worker, task);
+  }
+
+  private static boolean hasRunOn(Worker worker, Task task) {
+    for (Run run : task.runs()) {
+      if (run.worker().equals(worker.id())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Counts the workers by whether the task fits there and, if not, by the first reason. */
@@ -350,15 +363,14 @@
     return usesReservation ? RESERVATION_COST : 0;
   }
 
-  private long cost(Worker worker, JobStep step) {
-    StepSpec spec = step.spec();
+  private long cost(Worker worker, StepSpec spec, Set<String> usedRacks) {
     long cost = spec.filling() ? bestEffortCost(worker, spec) : guaranteedCost(worker, spec);
     cost += worker.history().isSuspect() ? SUSPECT_PENALTY : 0;
     String rack = worker.listing().map(WorkerListing::rack).orElse("");
     if (!spec.dataRack().isEmpty() && !spec.dataRack().equals(rack)) {
       cost += FAR_RACK_PENALTY;
     }
-    if (spec.sameRack() && !racksOf(step).isEmpty() && !racksOf(step).contains(rack)) {
+    if (!usedRacks.isEmpty() && !usedRacks.contains(rack)) {
       cost += FAR_RACK_PENALTY;
     }
     if (Worker.serves(spec) && !worker.isServing(spec.image())) {
@@ -391,6 +403,7 @@
     return -unused - Math.round(INTERFERENCE_COST * remainingUtilization(spec, worker));
   }
 
+  /** Returns the racks of the workers that have runs of a step. */
   private Set<String> racksOf(JobStep step) {
     Set<String> racks = new HashSet<>();
     for (Task task : step.tasks()) {
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -166,7 +166,8 @@
       lastEndReadMillis = nowMillis;
       journal.readEnd(nowMillis);
     }
-    if (maySendOrders(nowMillis)) {
+    boolean maySendOrders = maySendOrders(nowMillis);
+    if (maySendOrders) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
       due.forEach(this::send);
@@ -174,6 +175,10 @@
     }
     storeChanges(nowMillis);
     expireWaitingCallers(nowMillis);
+    load.endPart(OwnerLoad.Part.JOURNAL, 0);
+    if (maySendOrders) {
+      placeTasks();
+    }
     pacing.recordStep(load.endRound(journal.pendingMillis(nowMillis)));
     if (handled < EVENTS_PER_STEP) {
       LockSupport.parkNanos(pacing.pauseMillis() * 1_000_000);
@@ -181,6 +186,17 @@
     }
   }
 
+  private void placeTasks() {
+    long nowMillis = Clocks.monotonicMillis();
+    if (scheduler.millisUntilPlacement(nowMillis) == 0) {
+      List<Order> starts = scheduler.placeTasks(nowMillis, Clocks.wallMillis());
+      scheduler.recordPlacementEnd(Clocks.monotonicMillis());
+      load.endPart(OwnerLoad.Part.SCHEDULING, starts.size());
+      starts.forEach(this::send);
+      load.endPart(OwnerLoad.Part.SENDING, starts.size());
+    }
+  }
+
   /**
    * Sends an order. As long as the owner accepts events, an event with the result always follows;
    * without it, no further order would be sent to the worker.
@@ -201,7 +217,9 @@
   private void park() {
     parked = true;
     if (calls.size() == 0 && events.size() == 0) {
-      LockSupport.parkNanos(MAX_PARK_MILLIS * 1_000_000);
+      long placementMillis = scheduler.millisUntilPlacement(Clocks.monotonicMillis());
+      long parkMillis = ordersPaused ? MAX_PARK_MILLIS : Math.min(MAX_PARK_MILLIS, placementMillis);
+      LockSupport.parkNanos(parkMillis * 1_000_000);
     }
     parked = false;
   }
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
@@ -151,7 +151,9 @@
       scheduler.submit(nextJob(), nowMillis);
     }
     List<CompletableFuture<OrderResult>> sent = new ArrayList<>();
-    for (Order order : scheduler.step(nowMillis, nowMillis)) {
+    List<Order> due = new ArrayList<>(scheduler.step(nowMillis, nowMillis));
+    due.addAll(scheduler.placeTasks(nowMillis, nowMillis));
+    for (Order order : due) {
       if (sentOrders++ < MAX_SENT_ORDERS) {
         sent.add(orders.send(order, 1));
       }
