Confirm the ownership by one read after a long round of the owner

The read that confirms the ownership began only when no append was pending, a read was discarded if the append beside it was answered first, and a read that found the own append confirmed the ownership as of the append, which began before the long round.

The read now begins at once. Appends are conditional on the known end, so all records up to it are own ones: a read that shows no record behind the known end or behind the own append shows that there was no later claim when it was sent. A claim behind either still deposes the owner or leaves it unconfirmed. When the ownership must be confirmed is unchanged.

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
@@ -91,10 +91,16 @@
     }
   }
 
-  /** Starts a read of the records after the known end of the topic. */
-  void readEnd(long nowMillis) {
+  /**
+   * Starts a read of the records after the known end of the topic, unless one is pending. The
+   * append that may be pending meanwhile is conditional on this end, so the read shows either the
+   * append, or another entry's records, or none.
+   *
+   * @return whether the read was started
+   */
+  boolean readEnd(long nowMillis) {
     if (endReadInFlight) {
-      return;
+      return false;
     }
     endReadInFlight = true;
     long from = endOffset;
@@ -102,6 +108,7 @@
         log.read(LogTopic.JOBS, from, 0)
             .thenAccept(
                 result -> events.accept(new OwnerEvent.JournalEndRead(result, from, nowMillis)));
+    return true;
   }
 
   /** Handles the result of an append. Returns the batch if it is stored. */
@@ -145,10 +152,18 @@
 
   /**
    * Handles the result of a read at the known end. Returns the batch if the read shows that it is
-   * stored. Any other record after the known end was written by another entry.
+   * stored. Any other record after the known end was written by another entry. All records before
+   * the known end are own ones, so a read that shows no others confirms the ownership, even if the
+   * known end has moved since the read was sent.
    */
   Optional<JournalBatch> handleEndRead(OwnerEvent.JournalEndRead read, long nowMillis) {
     endReadInFlight = false;
+    if (read.result() instanceof KeyedLog.Read.Records found
+        && found.end() <= endOffset
+        && read.from() + found.records().size() <= endOffset) {
+      confirmedMillis = Math.max(confirmedMillis, read.sentMillis());
+      return Optional.empty();
+    }
     if (read.from() != endOffset) {
       return Optional.empty();
     }
@@ -165,12 +180,12 @@
 
   private Optional<JournalBatch> handleEndRead(
       KeyedLog.Read.Records found, long sentMillis, long nowMillis) {
-    if (found.records().isEmpty() && found.end() <= endOffset) {
-      confirmedMillis = Math.max(confirmedMillis, sentMillis);
-      return Optional.empty();
-    }
     if (isOwnAppend(found.records())) {
-      return finish(endOffset + records.size(), nowMillis);
+      Optional<JournalBatch> storedBatch = finish(endOffset + records.size(), nowMillis);
+      if (found.end() <= endOffset) {
+        confirmedMillis = Math.max(confirmedMillis, sentMillis);
+      }
+      return storedBatch;
     }
     if (!found.records().isEmpty()) {
       setDeposed("the record at offset " + endOffset + " was written by another entry");
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -162,9 +162,11 @@
       endTerm();
       return;
     }
-    if (nowMillis - lastEndReadMillis >= END_READ_INTERVAL_MILLIS && !journal.isBusy()) {
+    boolean confirmationNeeded = journal.confirmedMillis() < confirmationNeededSinceMillis;
+    if (nowMillis - lastEndReadMillis >= END_READ_INTERVAL_MILLIS
+        && (confirmationNeeded || !journal.isBusy())
+        && journal.readEnd(nowMillis)) {
       lastEndReadMillis = nowMillis;
-      journal.readEnd(nowMillis);
     }
     if (maySendOrders(nowMillis)) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
--- a/entry/src/test/java/org/lavenderstage/entry/job/InMemoryKeyedLog.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/InMemoryKeyedLog.java
@@ -22,6 +22,7 @@
   private final Map<LogTopic, List<KeyedRecord>> topics = new EnumMap<>(LogTopic.class);
   private final Map<LogTopic, Long> firstOffsets = new EnumMap<>(LogTopic.class);
   private final List<Runnable> delayedAppends = new ArrayList<>();
+  private final List<Runnable> delayedAnswers = new ArrayList<>();
 
   /** Number of next appends that are carried out but not answered. */
   int appendAnswersToLose;
@@ -40,6 +41,9 @@
   /** Actions that run before the next reads, one for each read. */
   final Queue<Runnable> beforeReads = new ArrayDeque<>();
 
+  /** Whether the answers of appends that are carried out wait for {@link #deliverAppendAnswers}. */
+  volatile boolean delayAppendAnswers;
+
   /** Whether all calls fail. */
   boolean down;
 
@@ -75,9 +79,25 @@
       appendAnswersToLose--;
       return unanswered();
     }
+    if (delayAppendAnswers) {
+      CompletableFuture<Append> answer = new CompletableFuture<>();
+      delayedAnswers.add(() -> answer.complete(result));
+      return answer;
+    }
     return CompletableFuture.completedFuture(result);
   }
 
+  /** Delivers the delayed answers of appends, and delays no further ones. */
+  void deliverAppendAnswers() {
+    List<Runnable> answers;
+    synchronized (this) {
+      delayAppendAnswers = false;
+      answers = List.copyOf(delayedAnswers);
+      delayedAnswers.clear();
+    }
+    answers.forEach(Runnable::run);
+  }
+
   private static Append apply(List<KeyedRecord> log, OptionalLong at, List<KeyedRecord> records) {
     if (at.isPresent() && at.getAsLong() != log.size()) {
       return new Append.EndMoved(log.size());
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.entry.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -33,7 +34,11 @@
   private static final String JOB = "00000000000000aa";
   private static final long TIMEOUT_MILLIS = 5_000;
 
+  /** Longer than a round after which the ownership must be confirmed again, in milliseconds. */
+  private static final long LONG_ROUND_MILLIS = 900;
+
   private final BlockingQueue<SentOrder> sentOrders = new LinkedBlockingQueue<>();
+  private final InMemoryKeyedLog log = new InMemoryKeyedLog();
   private Optional<OwnershipManager> ownership = Optional.empty();
 
   /** A sent order and its answer, which the test completes. */
@@ -59,7 +64,6 @@
   }
 
   private JobOwner startOwner(WorkerOrders orders, String... workers) throws InterruptedException {
-    InMemoryKeyedLog log = new InMemoryKeyedLog();
     for (String worker : workers) {
       log.append(LogTopic.WORKERS, OptionalLong.empty(), List.of(worker(worker))).join();
     }
@@ -113,6 +117,24 @@
     return owner;
   }
 
+  /** Creates an event that lists a worker, and blocks the owner's thread until the release. */
+  private static OwnerEvent blockingEvent(String worker, CountDownLatch release) {
+    List<KeyedRecord> records =
+        new AbstractList<>() {
+          @Override
+          public KeyedRecord get(int index) {
+            awaitRelease(release);
+            return worker(worker);
+          }
+
+          @Override
+          public int size() {
+            return 1;
+          }
+        };
+    return new OwnerEvent.ListingsRead(new TopicReader.Poll.Changes(records));
+  }
+
   private static void awaitRelease(CountDownLatch release) {
     try {
       assertTrue(release.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
@@ -176,20 +198,7 @@
     CountDownLatch release = new CountDownLatch(1);
     CountDownLatch releaseEvent = new CountDownLatch(1);
     JobOwner owner = startBlockedOwner(release);
-    List<KeyedRecord> slowRecords =
-        new AbstractList<>() {
-          @Override
-          public KeyedRecord get(int index) {
-            awaitRelease(releaseEvent);
-            return worker("w2");
-          }
-
-          @Override
-          public int size() {
-            return 1;
-          }
-        };
-    owner.post(new OwnerEvent.ListingsRead(new TopicReader.Poll.Changes(slowRecords)));
+    owner.post(blockingEvent("w2", releaseEvent));
     CompletableFuture<JobAnswer> answer = owner.call(query(JobVerb.WAITING));
     release.countDown();
     try {
@@ -199,4 +208,20 @@
       releaseEvent.countDown();
     }
   }
+
+  /** Guards against a pause of all orders that lasts until a pending append is answered. */
+  @Test
+  void ordersResumeAfterLongRoundWhileAppendIsPending() throws Exception {
+    JobOwner owner = startOwner((order, term) -> recordOrder(order), "w1");
+    takeSentOrder();
+    log.delayAppendAnswers = true;
+    CompletableFuture<JobAnswer> answer = owner.call(submission());
+    Thread.sleep(200);
+    assertFalse(answer.isDone());
+    CountDownLatch release = new CountDownLatch(1);
+    owner.post(blockingEvent("w2", release));
+    Thread.sleep(LONG_ROUND_MILLIS);
+    release.countDown();
+    assertEquals("w2", takeSentOrder().order().worker().id());
+  }
 }
