Start the append of new submissions before orders are sent

A round began the append of what it had taken only after scheduling and sending, together up to 1.5 s in the first seconds of an owner.

The append now starts before both. Changes that scheduling makes are stored by the next round's append.

On submissionIsStoredWhileOrdersAreSent failed; it passes now.

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -168,13 +168,14 @@
         && journal.readEnd(nowMillis)) {
       lastEndReadMillis = nowMillis;
     }
+    // Callers wait for the append, so it starts before the orders, which take long in a new owner.
+    storeChanges(nowMillis);
     if (maySendOrders(nowMillis)) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
       due.forEach(this::send);
       load.endPart(OwnerLoad.Part.SENDING, due.size());
     }
-    storeChanges(nowMillis);
     expireWaitingCallers(nowMillis);
     pacing.recordStep(load.endRound(journal.pendingMillis(nowMillis)));
     if (handled < EVENTS_PER_STEP) {
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.lavenderstage.clients.KeyedLog;
 import org.lavenderstage.clients.KeyedRecord;
 import org.lavenderstage.clients.LogTopic;
 import org.lavenderstage.clients.WorkerOrders;
@@ -224,4 +225,30 @@
     release.countDown();
     assertEquals("w2", takeSentOrder().order().worker().id());
   }
+
+  /** Guards against submissions that wait until all due orders are sent before they are stored. */
+  @Test
+  void submissionIsStoredWhileOrdersAreSent() throws Exception {
+    CountDownLatch releaseFirst = new CountDownLatch(1);
+    CountDownLatch releaseSecond = new CountDownLatch(1);
+    JobOwner owner =
+        startOwner(
+            (order, term) -> {
+              CompletableFuture<OrderResult> answer = recordOrder(order);
+              awaitRelease(order.worker().id().equals("w1") ? releaseFirst : releaseSecond);
+              return answer;
+            },
+            "w1");
+    takeSentOrder();
+    CompletableFuture<JobAnswer> answer = owner.call(submission());
+    owner.post(new OwnerEvent.ListingsRead(new TopicReader.Poll.Changes(List.of(worker("w2")))));
+    releaseFirst.countDown();
+    assertEquals("w2", takeSentOrder().order().worker().id());
+    boolean stored =
+        log.read(LogTopic.JOBS, 0, 0).join() instanceof KeyedLog.Read.Records jobs
+            && jobs.records().stream().anyMatch(record -> record.key().contains(JOB));
+    releaseSecond.countDown();
+    assertTrue(stored);
+    assertEquals(new JobAnswer.Accepted(), answer.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+  }
 }
