--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -47,10 +47,10 @@
   /** Stall of the thread after which the ownership must be confirmed again, in milliseconds. */
   private static final long STALL_THRESHOLD_MILLIS = 700;
 
-  /** Duration of a pending append from which on new jobs are rejected, in milliseconds. */
+  /** Duration of a failing append from which on new jobs are rejected, in milliseconds. */
   private static final long REJECT_SUBMISSIONS_AFTER_MILLIS = 700;
 
-  /** Duration of a pending append after which its callers are answered, in milliseconds. */
+  /** Duration of a failing append after which its callers are answered, in milliseconds. */
   private static final long APPEND_TIMEOUT_MILLIS = 1_400;
 
   /** Time after which callers should retry while the store is unavailable, in milliseconds. */
@@ -162,10 +162,14 @@
       endTerm();
       return;
     }
-    if (nowMillis - lastEndReadMillis >= END_READ_INTERVAL_MILLIS && !journal.isBusy()) {
+    boolean confirmationNeeded = journal.confirmedMillis() < confirmationNeededSinceMillis;
+    if (nowMillis - lastEndReadMillis >= END_READ_INTERVAL_MILLIS
+        && (confirmationNeeded || !journal.isBusy())
+        && journal.readEnd(nowMillis)) {
       lastEndReadMillis = nowMillis;
-      journal.readEnd(nowMillis);
     }
+    // Callers wait for the append, so it starts before the orders, which take long in a new owner.
+    storeChanges(nowMillis);
     boolean maySendOrders = maySendOrders(nowMillis);
     if (maySendOrders) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
@@ -173,7 +177,6 @@
       due.forEach(this::send);
       load.endPart(OwnerLoad.Part.SENDING, due.size());
     }
-    storeChanges(nowMillis);
     expireWaitingCallers(nowMillis);
     load.endPart(OwnerLoad.Part.JOURNAL, 0);
     if (maySendOrders) {
@@ -324,7 +327,7 @@
 
   private void submit(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
     Optional<Job> known = scheduler.find(call.job());
-    if (known.isEmpty() && journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
+    if (known.isEmpty() && isAppendFailing(REJECT_SUBMISSIONS_AFTER_MILLIS, nowMillis)) {
       answer.complete(STORE_UNAVAILABLE_ANSWER);
       return;
     }
@@ -336,6 +339,14 @@
     }
   }
 
+  /**
+   * Returns whether the current append has been pending for a time and the store failed to carry it
+   * out. Without a failure its answer may wait in this process.
+   */
+  private boolean isAppendFailing(long durationMillis, long nowMillis) {
+    return journal.isFailing() && journal.pendingMillis(nowMillis) > durationMillis;
+  }
+
   private void cancel(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
     Optional<Job> known = scheduler.find(call.job());
     if (known.isEmpty()) {
@@ -388,10 +399,10 @@
   }
 
   private void expireWaitingCallers(long nowMillis) {
-    if (journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
+    if (isAppendFailing(REJECT_SUBMISSIONS_AFTER_MILLIS, nowMillis)) {
       rejectUnstoredSubmissions();
     }
-    boolean appendTimedOut = journal.pendingMillis(nowMillis) > APPEND_TIMEOUT_MILLIS;
+    boolean appendTimedOut = isAppendFailing(APPEND_TIMEOUT_MILLIS, nowMillis);
     Iterator<List<WaitingCaller>> lists = waitingCallers.values().iterator();
     while (lists.hasNext()) {
       List<WaitingCaller> callers = lists.next();
