--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -83,6 +83,9 @@
   /** Pacing of the owner; its steps take no time unless a test records durations. */
   final OwnerPacing pacing = new OwnerPacing();
 
+  /** Largest number of orders that an owner sent in one step. */
+  int maxOrdersPerStep;
+
   /** Number of appends that owners have started. */
   int appendCount;
 
@@ -229,6 +232,7 @@
   private List<Order> step(JobScheduler scheduler) {
     List<Order> orders = new ArrayList<>(scheduler.step(monotonicMillis(scheduler), now));
     orders.addAll(scheduler.placeTasks(monotonicMillis(scheduler), now));
+    maxOrdersPerStep = Math.max(maxOrdersPerStep, orders.size());
     return orders;
   }
 
