--- a/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
@@ -60,11 +60,6 @@
     return batch.isPresent() ? nowMillis - startedAtMillis : 0;
   }
 
-  /** Returns whether an attempt of the current append has failed. */
-  boolean isFailing() {
-    return failing;
-  }
-
   /** Returns the latest monotonic time in milliseconds at which the ownership was confirmed. */
   long confirmedMillis() {
     return confirmedMillis;
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -47,10 +47,10 @@
   /** Stall of the thread after which the ownership must be confirmed again, in milliseconds. */
   private static final long STALL_THRESHOLD_MILLIS = 700;
 
-  /** Duration of a failing append from which on new jobs are rejected, in milliseconds. */
+  /** Duration of a pending append from which on new jobs are rejected, in milliseconds. */
   private static final long REJECT_SUBMISSIONS_AFTER_MILLIS = 700;
 
-  /** Duration of a failing append after which its callers are answered, in milliseconds. */
+  /** Duration of a pending append after which its callers are answered, in milliseconds. */
   private static final long APPEND_TIMEOUT_MILLIS = 1_400;
 
   /** Time after which callers should retry while the store is unavailable, in milliseconds. */
@@ -327,7 +327,7 @@
 
   private void submit(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
     Optional<Job> known = scheduler.find(call.job());
-    if (known.isEmpty() && isAppendFailing(REJECT_SUBMISSIONS_AFTER_MILLIS, nowMillis)) {
+    if (known.isEmpty() && journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
       answer.complete(STORE_UNAVAILABLE_ANSWER);
       return;
     }
@@ -339,14 +339,6 @@
     }
   }
 
-  /**
-   * Returns whether the current append has been pending for a time and the store failed to carry it
-   * out. Without a failure its answer may wait in this process.
-   */
-  private boolean isAppendFailing(long durationMillis, long nowMillis) {
-    return journal.isFailing() && journal.pendingMillis(nowMillis) > durationMillis;
-  }
-
   private void cancel(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
     Optional<Job> known = scheduler.find(call.job());
     if (known.isEmpty()) {
@@ -399,10 +391,10 @@
   }
 
   private void expireWaitingCallers(long nowMillis) {
-    if (isAppendFailing(REJECT_SUBMISSIONS_AFTER_MILLIS, nowMillis)) {
+    if (journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
       rejectUnstoredSubmissions();
     }
-    boolean appendTimedOut = isAppendFailing(APPEND_TIMEOUT_MILLIS, nowMillis);
+    boolean appendTimedOut = journal.pendingMillis(nowMillis) > APPEND_TIMEOUT_MILLIS;
     Iterator<List<WaitingCaller>> lists = waitingCallers.values().iterator();
     while (lists.hasNext()) {
       List<WaitingCaller> callers = lists.next();
