--- a/core/src/main/java/org/lavenderstage/core/pool/DeferralLog.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/DeferralLog.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.lavenderstage.core.job.Task;
 
 /**
@@ -31,8 +32,16 @@
     current = new HashMap<>();
   }
 
-  /** Records that a search found no worker for a task. */
-  void recordDeferred(Task task, PlacementResult result, long nowMillis) {
+  /**
+   * Records that a search found no worker for a task.
+   *
+   * @param result the result of the search
+   * @param fitCounts supplies the number of workers for each reason; called only if the wait is
+   *     logged
+   * @param nowMillis monotonic time in milliseconds
+   */
+  void recordDeferred(
+      Task task, PlacementResult result, Supplier<Map<Fit, Integer>> fitCounts, long nowMillis) {
     if (!task.isInterrupted(nowMillis)) {
       return;
     }
@@ -50,7 +59,11 @@
           "withheld",
           withheldRounds,
           "deferred-ms",
-          nowMillis - before.sinceMillis());
+          nowMillis - before.sinceMillis(),
+          "cpu",
+          task.step().spec().cpuMillis(),
+          "workers",
+          fitCounts.get());
     }
     current.put(
         task,
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -187,7 +187,7 @@
       return true;
     }
     waitLog.recordDeferred(task, rank, () -> selector.countFits(task), nowMillis);
-    deferralLog.recordDeferred(task, result, nowMillis);
+    deferralLog.recordDeferred(task, result, () -> selector.countFits(task), nowMillis);
     if (spec.maxPerWorker() == 0) {
       longestPlaceableMillis.put(
           key, result instanceof PlacementResult.NoRoom noRoom ? noRoom.longestRunMillis() : -1L);
