--- a/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -354,6 +354,31 @@
     assertNoLongWait();
   }
 
+  /**
+   * An interrupted task was kept off workers whose capacity was reserved for larger interrupted
+   * tasks, however many of them it fits on, unless it fits twice on one worker.
+   */
+  @Test
+  @Tag("known-red")
+  void interruptedTaskRunsAgainBesideReservationsForLargerOnesOnTwoWorkers() {
+    start(8, 32_000);
+    for (int i = 0; i < 4; i++) {
+      simulation.submit(List.of(StepBuilder.longRunning(1, 32_000)), 0);
+    }
+    run(500);
+    Job large = simulation.submit(List.of(StepBuilder.longRunning(2, 20_000)), 0);
+    run(500);
+    simulation.submit(List.of(StepBuilder.step(2, 24_000, 60_000)), 2);
+    run(500);
+    Job small = watch(StepBuilder.longRunning(1, 6_000), 0);
+    run(4_000);
+    for (Job job : List.of(small, large)) {
+      tasks(job).forEach(task -> workerOf(task).draining = true);
+    }
+    run(15_000);
+    assertNoLongWait();
+  }
+
   private static StepSpec longRunningGang(int count, int cpuMillis, int maxPerWorker) {
     return StepBuilder.ofLongRunning(count, cpuMillis).gang().maxPerWorker(maxPerWorker).build();
   }
