Show an interrupted task that loses each new worker to later ones

Where the pool is full only new workers have room, and the test shows a task without a run for as long as workers are replaced, 3,900 ms to the end of the test: its job came last, and of interrupted tasks those of earlier jobs go first.

--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
@@ -1,10 +1,13 @@
 package org.lavenderstage.core.pool;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.TaskId;
@@ -123,4 +126,42 @@
     assertEquals(List.of(), notRunning(), this::ordersSinceDraining);
     assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
   }
+
+  /**
+   * Tasks of jobs that were submitted earlier took each new worker before one that had waited for
+   * longer.
+   */
+  @Test
+  @Tag("known-red")
+  void taskThatWaitsLongestRunsAgainWhileWorkersAreReplacedInTurn() {
+    PoolSimulation pool = new PoolSimulation(SEED, 8);
+    pool.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
+    pool.run(500);
+    pool.submit(List.of(StepBuilder.longRunning(39, 6_000)), 0);
+    pool.run(200);
+    TaskId task =
+        new TaskId(pool.submit(List.of(StepBuilder.longRunning(1, 6_000)), 0).id(), 0, 0, 0);
+    pool.run(10_000);
+    List<SimulatedWorker> leaving = new ArrayList<>(pool.workers);
+    SimulatedWorker first = leaving.stream().filter(w -> w.runs(task)).findFirst().orElseThrow();
+    leaving.remove(first);
+    first.draining = true;
+    leaving.remove(0).draining = true;
+    pool.run(300);
+    for (int i = 0; i < 4; i++) {
+      SimulatedWorker added = new SimulatedWorker(8 + i, pool.now, pool.oracle);
+      added.cpuMillis = WORKER_CPU;
+      pool.workers.add(added);
+      pool.run(500);
+      leaving.remove(0).draining = true;
+      pool.run(400);
+    }
+    assertTrue(
+        pool.oracle.isRunning(task),
+        () ->
+            pool.history.stream()
+                .filter(line -> line.contains(task.toString()))
+                .collect(Collectors.joining("\n")));
+    assertEquals(List.of(), pool.oracle.violations, pool::describeViolations);
+  }
 }
