--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -60,7 +60,7 @@
       new JobAnswer.Undecided("the owner of the jobs changes");
 
   private static final JobAnswer STORE_UNAVAILABLE_ANSWER =
-      new JobAnswer.Rejected("the platform's store does not answer", RETRY_AFTER_MILLIS);
+      new JobAnswer.Rejected("no job can be stored in time", RETRY_AFTER_MILLIS);
 
   private final long term;
   private final JobScheduler scheduler;
