Confirm the ownership again before tasks are placed

OutdatedConfirmationTest: a lease until 10,009 where 9,500 is allowed before, none later than allowed now. The check is made again at the time from which the leases count.

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -191,7 +191,9 @@
 
   private void placeTasks() {
     long nowMillis = Clocks.monotonicMillis();
-    if (scheduler.millisUntilPlacement(nowMillis) == 0) {
+    detectStall(nowMillis);
+    // The leases of starts begin now, and the orders before may have taken long to send.
+    if (scheduler.millisUntilPlacement(nowMillis) == 0 && maySendOrders(nowMillis)) {
       List<Order> starts = scheduler.placeTasks(nowMillis, Clocks.wallMillis());
       scheduler.recordPlacementEnd(Clocks.monotonicMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, starts.size());
