--- a/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
@@ -116,7 +116,7 @@
     int priority = job.rules().priority();
     if (interruptedSince <= nowMillis) {
       return new Ranked(
-          job, RankClass.INTERRUPTED, priority, Lateness.ON_TIME, nowMillis - interruptedSince);
+          job, RankClass.INTERRUPTED, 0, Lateness.ON_TIME, nowMillis - interruptedSince);
     }
     boolean urgent = priority == 0 && !longRunning && lateness != Lateness.EXPIRED;
     RankClass rankClass =
--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
@@ -162,4 +162,41 @@
                 .collect(Collectors.joining("\n")));
     assertEquals(List.of(), pool.oracle.violations, pool::describeViolations);
   }
+
+  /**
+   * Tasks of queues with a higher priority took each new worker before one that had waited for
+   * longer.
+   */
+  @Test
+  void taskOfLowerPriorityThatWaitsLongestRunsAgainWhileWorkersAreReplacedInTurn() {
+    PoolSimulation pool = new PoolSimulation(SEED, 8);
+    pool.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
+    pool.run(500);
+    pool.submit(List.of(StepBuilder.longRunning(39, 6_000)), 0);
+    pool.run(200);
+    TaskId task =
+        new TaskId(pool.submit(List.of(StepBuilder.longRunning(1, 6_000)), 1).id(), 0, 0, 0);
+    pool.run(10_000);
+    List<SimulatedWorker> leaving = new ArrayList<>(pool.workers);
+    SimulatedWorker first = leaving.stream().filter(w -> w.runs(task)).findFirst().orElseThrow();
+    leaving.remove(first);
+    first.draining = true;
+    leaving.remove(0).draining = true;
+    pool.run(300);
+    for (int i = 0; i < 4; i++) {
+      SimulatedWorker added = new SimulatedWorker(8 + i, pool.now, pool.oracle);
+      added.cpuMillis = WORKER_CPU;
+      pool.workers.add(added);
+      pool.run(500);
+      leaving.remove(0).draining = true;
+      pool.run(400);
+    }
+    assertTrue(
+        pool.oracle.isRunning(task),
+        () ->
+            pool.history.stream()
+                .filter(line -> line.contains(task.toString()))
+                .collect(Collectors.joining("\n")));
+    assertEquals(List.of(), pool.oracle.violations, pool::describeViolations);
+  }
 }
