--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -146,6 +146,15 @@
     startLeaseIncarnation = workerStartedAtMillis;
   }
 
+  /**
+   * Returns whether a copy of the start order was sent by this owner.
+   *
+   * @return false if no copy can reach the worker
+   */
+  public boolean isStartSent() {
+    return startLeaseUntilMillis > 0;
+  }
+
   /**
    * Returns whether the worker would reject every copy of the start order because the latest lease
    * in any of them has expired.
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -268,6 +268,7 @@
     List<Order> orders = new ArrayList<>(readyOrders);
     readyOrders.clear();
     jobs.openDueOccurrences(wallMillis);
+    dropUnsentStarts();
     workers.step(nowMillis, orders);
     if (inheritedRunsUnknown && !workers.mayHaveUnreportedRuns(nowMillis)) {
       inheritedRunsUnknown = false;
@@ -325,6 +326,20 @@
     return placementRounds;
   }
 
+  /** Releases the tasks whose start waited for a later step while their worker became unusable. */
+  private void dropUnsentStarts() {
+    for (Run run : runs.awaitingOrder.unsentStarts()) {
+      Worker worker = workers.find(run.worker()).orElseThrow();
+      boolean usable =
+          worker.isClockKnown()
+              && !worker.isUnresponsive()
+              && worker.listing().filter(listing -> !listing.draining()).isPresent();
+      if (!usable) {
+        runs.markLost(worker, run, "its start was never sent");
+      }
+    }
+  }
+
   private void addRunOrders(long nowMillis, List<Order> orders) {
     Set<String> due = runs.awaitingOrder.dueWorkers(nowMillis);
     if (due.isEmpty()) {
--- a/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import org.lavenderstage.core.job.Run;
 
@@ -17,6 +18,13 @@
     runs.remove(run);
   }
 
+  /** Returns the runs that no start order was sent for. */
+  List<Run> unsentStarts() {
+    return runs.stream()
+        .filter(run -> run.state() == Run.State.STARTING && !run.isStartSent())
+        .toList();
+  }
+
   /** Returns the identifiers of the workers with a run for which an order is due. */
   Set<String> dueWorkers(long nowMillis) {
     runs.removeIf(run -> run.state() != Run.State.STARTING && run.state() != Run.State.STOPPING);
