Name the warm-up's workers and the pending append by what they are; let a deposed owner sleep

A deposed owner's thread did not sleep until the election closed it, since a scheduling round is always due then (found by the review, by reading).

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -59,7 +59,7 @@
   private static final JobAnswer OWNER_CHANGED_ANSWER =
       new JobAnswer.Undecided("the owner of the jobs changes");
 
-  private static final JobAnswer STORE_UNAVAILABLE_ANSWER =
+  private static final JobAnswer APPEND_PENDING_ANSWER =
       new JobAnswer.Rejected("no job can be stored in time", RETRY_AFTER_MILLIS);
 
   private final long term;
@@ -223,7 +223,8 @@
     parked = true;
     if (calls.size() == 0 && events.size() == 0) {
       long placementMillis = scheduler.millisUntilPlacement(Clocks.monotonicMillis());
-      long parkMillis = ordersPaused ? MAX_PARK_MILLIS : Math.min(MAX_PARK_MILLIS, placementMillis);
+      boolean placing = !ordersPaused && !deposed;
+      long parkMillis = placing ? Math.min(MAX_PARK_MILLIS, placementMillis) : MAX_PARK_MILLIS;
       LockSupport.parkNanos(parkMillis * 1_000_000);
     }
     parked = false;
@@ -330,7 +331,7 @@
   private void submit(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
     Optional<Job> known = scheduler.find(call.job());
     if (known.isEmpty() && journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
-      answer.complete(STORE_UNAVAILABLE_ANSWER);
+      answer.complete(APPEND_PENDING_ANSWER);
       return;
     }
     Job job = known.orElseGet(() -> scheduler.submit(call.submission().orElseThrow(), nowMillis));
@@ -386,7 +387,7 @@
   private void rejectUnstoredSubmissions() {
     for (Job job : scheduler.withdrawUnstored()) {
       for (WaitingCaller caller : waitingCallers.getOrDefault(job, List.of())) {
-        caller.answer().complete(STORE_UNAVAILABLE_ANSWER);
+        caller.answer().complete(APPEND_PENDING_ANSWER);
       }
       waitingCallers.remove(job);
     }
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
@@ -41,7 +41,7 @@
 
   private static final int ROUNDS = 120;
 
-  /** Number of orders that are sent; methods are compiled after 200 calls. */
+  /** Number of orders that are sent; enough for their methods to be compiled. */
   private static final int MAX_SENT_ORDERS = 250;
 
   private static final int WORKERS = 6;
@@ -70,7 +70,7 @@
   private final EventLoopGroup eventLoops;
   private final BooleanSupplier mayContinue;
   private final LongSupplier requestCount;
-  private final List<SimulatedWorker> workers = new ArrayList<>();
+  private final List<WarmupWorker> workers = new ArrayList<>();
   private final JobScheduler scheduler =
       new JobScheduler(1, TIMING, RETENTION_MILLIS, (decision, namesAndValues) -> {});
   private long nowMillis = TIMING.leaseMillis();
@@ -115,7 +115,7 @@
     server.start().join();
     try {
       for (int i = 0; i < WORKERS; i++) {
-        workers.add(new SimulatedWorker("warmup-" + i));
+        workers.add(new WarmupWorker("warmup-" + i));
         scheduler.workerListed(listing(workers.get(i).id(), server.activeLocalPort()));
       }
       for (int round = 0; round < ROUNDS && mayContinue.getAsBoolean(); round++) {
@@ -157,7 +157,7 @@
       if (sentOrders++ < MAX_SENT_ORDERS) {
         sent.add(orders.send(order, 1));
       }
-      SimulatedWorker worker =
+      WarmupWorker worker =
           workers.stream()
               .filter(w -> w.id().equals(order.worker().id()))
               .findFirst()
--- a/entry/src/main/java/org/lavenderstage/entry/job/SimulatedWorker.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/WarmupWorker.java
@@ -12,7 +12,7 @@
 import org.lavenderstage.core.pool.WorkerReport;
 
 /** Worker of a warm-up: carries out all orders at once, and ends short tasks after their time. */
-final class SimulatedWorker {
+final class WarmupWorker {
   /** Tail latency of long-running tasks, in milliseconds; below their target. */
   private static final int TAIL_LATENCY_MILLIS = 20;
 
@@ -24,7 +24,7 @@
   /** A run, which ends by itself at a time. */
   private record ActiveRun(TaskId task, int attempt, StepSpec spec, long endsAtMillis) {}
 
-  SimulatedWorker(String id) {
+  WarmupWorker(String id) {
     this.id = id;
   }
 
