--- a/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InterruptedLongRunningTaskTest.java
@@ -132,35 +132,7 @@
    */
   @Test
   void taskThatWaitsLongestRunsAgainWhileWorkersAreReplacedInTurn() {
-    PoolSimulation pool = new PoolSimulation(SEED, 8);
-    pool.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
-    pool.run(500);
-    pool.submit(List.of(StepBuilder.longRunning(39, 6_000)), 0);
-    pool.run(200);
-    TaskId task =
-        new TaskId(pool.submit(List.of(StepBuilder.longRunning(1, 6_000)), 0).id(), 0, 0, 0);
-    pool.run(10_000);
-    List<SimulatedWorker> leaving = new ArrayList<>(pool.workers);
-    SimulatedWorker first = leaving.stream().filter(w -> w.runs(task)).findFirst().orElseThrow();
-    leaving.remove(first);
-    first.draining = true;
-    leaving.remove(0).draining = true;
-    pool.run(300);
-    for (int i = 0; i < 4; i++) {
-      SimulatedWorker added = new SimulatedWorker(8 + i, pool.now, pool.oracle);
-      added.cpuMillis = WORKER_CPU;
-      pool.workers.add(added);
-      pool.run(500);
-      leaving.remove(0).draining = true;
-      pool.run(400);
-    }
-    assertTrue(
-        pool.oracle.isRunning(task),
-        () ->
-            pool.history.stream()
-                .filter(line -> line.contains(task.toString()))
-                .collect(Collectors.joining("\n")));
-    assertEquals(List.of(), pool.oracle.violations, pool::describeViolations);
+    assertRunsAgainWhileWorkersAreReplaced(0);
   }
 
   /**
@@ -169,13 +141,21 @@
    */
   @Test
   void taskOfLowerPriorityThatWaitsLongestRunsAgainWhileWorkersAreReplacedInTurn() {
+    assertRunsAgainWhileWorkersAreReplaced(1);
+  }
+
+  /**
+   * Verifies that a task with the given priority runs again while two workers leave and others are
+   * replaced in turn.
+   */
+  private static void assertRunsAgainWhileWorkersAreReplaced(int priority) {
     PoolSimulation pool = new PoolSimulation(SEED, 8);
     pool.workers.forEach(worker -> worker.cpuMillis = WORKER_CPU);
     pool.run(500);
     pool.submit(List.of(StepBuilder.longRunning(39, 6_000)), 0);
     pool.run(200);
     TaskId task =
-        new TaskId(pool.submit(List.of(StepBuilder.longRunning(1, 6_000)), 1).id(), 0, 0, 0);
+        new TaskId(pool.submit(List.of(StepBuilder.longRunning(1, 6_000)), priority).id(), 0, 0, 0);
     pool.run(10_000);
     List<SimulatedWorker> leaving = new ArrayList<>(pool.workers);
     SimulatedWorker first = leaving.stream().filter(w -> w.runs(task)).findFirst().orElseThrow();
