--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -170,6 +170,7 @@
     }
     // Callers wait for the append, so it starts before the orders, which take long in a new owner.
     storeChanges(nowMillis);
+    load.endPart(OwnerLoad.Part.JOURNAL, 0);
     boolean maySendOrders = maySendOrders(nowMillis);
     if (maySendOrders) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
