--- a/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobRanking.java
@@ -115,6 +115,7 @@
                 : Lateness.EXPIRED;
     int priority = job.rules().priority();
     if (interruptedSince <= nowMillis) {
+      // Neither priority nor lateness counts: users accept the same wait for all of these.
       return new Ranked(
           job, RankClass.INTERRUPTED, 0, Lateness.ON_TIME, nowMillis - interruptedSince);
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/OwnerPacing.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/OwnerPacing.java
@@ -20,7 +20,7 @@
    */
   private static final long MAX_PAUSE_MILLIS = 50;
 
-  /** Pauses between batches, in mean durations of a step. */
+  /** Time between two batches of changes that nothing waits for, in mean durations of a step. */
   private static final int STEPS_PER_BATCH_INTERVAL = 8;
 
   /**
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
@@ -39,6 +39,7 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String SERVICE = "warmup";
 
+  /** Number of rounds; enough for jobs of each kind to be completed. */
   private static final int ROUNDS = 120;
 
   /** Number of orders that are sent; enough for their methods to be compiled. */
@@ -48,6 +49,7 @@
   private static final int WORKER_CPU_MILLIS = 32_000;
   private static final int WORKER_MEMORY_MB = 64_000;
   private static final int ROUNDS_PER_JOB = 3;
+  private static final int JOB_KINDS = 3;
   private static final int TASKS_PER_STEP = 4;
   private static final int TASK_CPU_MILLIS = 2_000;
   private static final int TASK_MEMORY_MB = 500;
@@ -186,7 +188,7 @@
 
   /** Returns the next of three kinds of jobs: urgent, long-running and best-effort ones. */
   private JobRecord nextJob() {
-    int kind = submitted % 3;
+    int kind = submitted % JOB_KINDS;
     boolean longRunning = kind == 1 && submitted < 2 * WORKERS;
     StepSpec first = step(List.of(), longRunning, kind == 2);
     List<StepSpec> steps =
