Call the platform and serve callers through Netty's HTTP codec

On a small share of a processor nothing else got done. Change: the new module http has an HTTP/1.1 client and server on the codec that Armeria is built on; the adapter and the entry on the platform use them. The product's own interface stays on Armeria.

--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -1,17 +1,8 @@
 package org.lavenderstage.entry.job;
 
-import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.server.HttpService;
-import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
-import java.time.Duration;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +15,10 @@
 import org.lavenderstage.core.job.QueueRoute;
 import org.lavenderstage.core.job.QueueTable;
 import org.lavenderstage.entry.admin.EntryMetrics;
+import org.lavenderstage.http.Http1Handler;
+import org.lavenderstage.http.Http1Request;
+import org.lavenderstage.http.Http1Response;
+import org.lavenderstage.http.Http1Server;
 import org.lavenderstage.platform.CallFormat;
 import org.lavenderstage.platform.JobDecoder;
 import org.lavenderstage.platform.NodeSettings;
@@ -34,7 +29,7 @@
 /** Serves callers, the readiness check and the metrics over HTTP. */
 final class FrontServer implements AutoCloseable {
   /** Maximum size of a request body in bytes; one of the operator's limits. */
-  private static final long MAX_BODY_BYTES = 262_144;
+  private static final int MAX_BODY_BYTES = 262_144;
 
   /** Idle time after which a connection is closed, in ms; one of the operator's limits. */
   private static final long IDLE_TIMEOUT_MILLIS = 15_000;
@@ -57,12 +52,6 @@
   /** Time after which callers should retry before there is a configuration, in milliseconds. */
   private static final long NOT_READY_RETRY_AFTER_MILLIS = 1_000;
 
-  /** Time without requests after which a graceful shutdown ends. */
-  private static final Duration SHUTDOWN_QUIET_PERIOD = Duration.ofMillis(50);
-
-  /** Time after which a graceful shutdown ends in any case. */
-  private static final Duration SHUTDOWN_TIMEOUT = Duration.ofMillis(700);
-
   private final NodeSettings settings;
   private final Supplier<Optional<QueueTable>> configuration;
   private final CallRouter router;
@@ -70,7 +59,7 @@
   private final EntryMetrics metrics;
   private final BooleanSupplier draining;
   private final AtomicLong requestCount = new AtomicLong();
-  private final Server server;
+  private final Http1Server server;
 
   FrontServer(
       NodeSettings settings,
@@ -86,23 +75,13 @@
     this.ready = ready;
     this.draining = draining;
     this.metrics = metrics;
-    HttpService service = this::serve;
-    server =
-        Server.builder()
-            .workerGroup(loops, false)
-            .http(new InetSocketAddress(settings.ip(), settings.callerPort()))
-            .http(new InetSocketAddress(settings.ip(), settings.readinessPort()))
-            .http(new InetSocketAddress(settings.ip(), settings.metricsPort()))
-            .maxRequestLength(MAX_BODY_BYTES)
-            .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
-            .requestTimeoutMillis(0)
-            .gracefulShutdownTimeout(SHUTDOWN_QUIET_PERIOD, SHUTDOWN_TIMEOUT)
-            .serviceUnder("/", service)
-            .build();
+    server = new Http1Server(loops, MAX_BODY_BYTES, IDLE_TIMEOUT_MILLIS);
   }
 
   void start() {
-    server.start().join();
+    server.listen(settings.ip(), settings.callerPort(), this::serve);
+    server.listen(settings.ip(), settings.readinessPort(), request -> readiness());
+    server.listen(settings.ip(), settings.metricsPort(), request -> metricsText());
   }
 
   /** Returns the number of callers' requests that named a queue so far. */
@@ -110,34 +89,35 @@
     return requestCount.get();
   }
 
-  private HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-    int port = context.localAddress().getPort();
-    if (port == settings.readinessPort()) {
-      return HttpResponse.of(ready.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
-    }
-    if (port == settings.metricsPort()) {
-      return HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text());
-    }
-    long arrivedAtMillis = Clocks.monotonicMillis();
-    if (draining.getAsBoolean()) {
-      context.mutateAdditionalResponseHeaders(
-          headers -> headers.set(HttpHeaderNames.CONNECTION, "close"));
-    }
-    return HttpResponse.of(
-        request
-            .aggregate()
-            .thenCompose(aggregated -> answer(aggregated, arrivedAtMillis))
-            .thenApply(CallFormat::response));
+  private CompletableFuture<Http1Handler.Reply> readiness() {
+    HttpResponseStatus status =
+        ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    return CompletableFuture.completedFuture(
+        new Http1Handler.Reply(Http1Response.of(status.code()), false));
   }
 
-  private CompletableFuture<JobAnswer> answer(AggregatedHttpRequest request, long arrivedAtMillis) {
+  private CompletableFuture<Http1Handler.Reply> metricsText() {
+    return CompletableFuture.completedFuture(
+        new Http1Handler.Reply(
+            Http1Response.of(
+                HttpResponseStatus.OK.code(), Http1Response.PLAIN_TEXT, metrics.text()),
+            false));
+  }
+
+  private CompletableFuture<Http1Handler.Reply> serve(Http1Request request) {
+    return answer(request, Clocks.monotonicMillis())
+        .thenApply(
+            answer -> new Http1Handler.Reply(CallFormat.response(answer), draining.getAsBoolean()));
+  }
+
+  private CompletableFuture<JobAnswer> answer(Http1Request request, long arrivedAtMillis) {
     Optional<QueueTable> table = configuration.get();
     if (table.isEmpty()) {
       return CompletableFuture.completedFuture(
           new JobAnswer.Rejected("there is no configuration yet", NOT_READY_RETRY_AFTER_MILLIS));
     }
-    String host = request.authority() == null ? "" : request.authority();
-    String path = path(request.path());
+    String host = request.header(HttpHeaderNames.HOST).orElse("");
+    String path = request.path();
     Optional<QueueRoute> route = table.get().find(host, path);
     if (route.isEmpty()) {
       return CompletableFuture.completedFuture(new JobAnswer.UnknownQueue());
@@ -148,15 +128,13 @@
       return CompletableFuture.completedFuture(new JobAnswer.Malformed("no such method"));
     }
     String id = job + "/" + settings.vm() + "/" + requestCount.incrementAndGet();
-    long callerDeadlineMillis =
-        CallFormat.deadlineMillis(request.headers()).orElse(DEFAULT_DEADLINE_MILLIS);
+    long callerDeadlineMillis = CallFormat.deadlineMillis(request).orElse(DEFAULT_DEADLINE_MILLIS);
     Optional<JobRecord> submission = Optional.empty();
     if (verb.get() == JobVerb.SUBMIT) {
       try {
         submission =
             Optional.of(
-                JobDecoder.decode(
-                    job, route.get().rules(), request.content().array(), Clocks.wallMillis()));
+                JobDecoder.decode(job, route.get().rules(), request.body(), Clocks.wallMillis()));
       } catch (MalformedMessageException e) {
         return CompletableFuture.completedFuture(new JobAnswer.Malformed(e.getMessage()));
       }
@@ -181,11 +159,6 @@
     return Math.round(Math.max(remainingMillis * REPLY_FRACTION, minMillis));
   }
 
-  private static String path(String target) {
-    int query = target.indexOf('?');
-    return query < 0 ? target : target.substring(0, query);
-  }
-
   private void recordAnswer(
       JobCall call, JobAnswer answer, QueueTable table, long arrivedAtMillis) {
     long tookMillis = Clocks.monotonicMillis() - arrivedAtMillis;
@@ -212,6 +185,6 @@
   /** Stops listening, answers the pending requests, and closes the connections. */
   @Override
   public void close() {
-    server.stop().join();
+    server.close();
   }
 }
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -1,12 +1,12 @@
 package org.lavenderstage.entry.job;
 
-import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.netty.channel.EventLoopGroup;
 import java.util.Optional;
 import org.lavenderstage.core.pool.Decision;
 import org.lavenderstage.core.pool.PoolTiming;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.entry.peer.PeerServer;
+import org.lavenderstage.http.EventLoops;
 import org.lavenderstage.platform.NodeSettings;
 import org.lavenderstage.platform.PlatformHttp;
 import org.lavenderstage.platform.PlatformStore;
@@ -37,7 +37,7 @@
 
   private final NodeSettings settings;
   private final String entry;
-  private final EventLoopGroup eventLoops = EventLoopGroups.newEventLoopGroup(1, "io", true);
+  private final EventLoopGroup eventLoops = EventLoops.create("io");
   private final PlatformHttp http = new PlatformHttp(eventLoops);
   private final PlatformStore store;
   private final PlatformWorkers workers;
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
@@ -1,6 +1,5 @@
 package org.lavenderstage.entry.job;
 
-import com.linecorp.armeria.client.ClientFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,7 +36,6 @@
    */
   public static void main(String[] arguments) throws InterruptedException {
     EventLog.useJson(true);
-    ClientFactory.disableShutdownHook();
     Path file = SettingsFile.path(System.getenv());
     JobEntry entry;
     NodeSettings settings;
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerWarmup.java
@@ -1,12 +1,6 @@
 package org.lavenderstage.entry.job;
 
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.metric.NoopMeterRegistry;
-import com.linecorp.armeria.server.Server;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -26,6 +20,9 @@
 import org.lavenderstage.core.pool.OrderResult;
 import org.lavenderstage.core.pool.PoolTiming;
 import org.lavenderstage.core.pool.WorkerListing;
+import org.lavenderstage.http.Http1Handler;
+import org.lavenderstage.http.Http1Response;
+import org.lavenderstage.http.Http1Server;
 import org.lavenderstage.wire.codec.MalformedMessageException;
 import org.lavenderstage.wire.codec.StoredCodec;
 
@@ -39,6 +36,14 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String SERVICE = "warmup";
 
+  private static final int MAX_BODY_BYTES = 65_536;
+  private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
+  /** Response to all orders. */
+  private static final CompletableFuture<Http1Handler.Reply> RESPONSE =
+      CompletableFuture.completedFuture(
+          new Http1Handler.Reply(Http1Response.of(200, Http1Response.JSON, "{}"), false));
+
   /** Number of rounds; enough for jobs of each kind to be completed. */
   private static final int ROUNDS = 120;
 
@@ -106,19 +111,11 @@
    * @throws InterruptedException if the thread is interrupted during a pause
    */
   int run() throws InterruptedException {
-    Server server =
-        Server.builder()
-            .workerGroup(eventLoops, false)
-            .meterRegistry(NoopMeterRegistry.get())
-            .blockingTaskExecutor(eventLoops, false)
-            .http(new InetSocketAddress(LOOPBACK, 0))
-            .serviceUnder("/", (c, r) -> HttpResponse.of(HttpStatus.OK, MediaType.JSON, "{}"))
-            .build();
-    server.start().join();
-    try {
+    try (Http1Server server = new Http1Server(eventLoops, MAX_BODY_BYTES, IDLE_TIMEOUT_MILLIS)) {
+      int port = server.listen(LOOPBACK, 0, request -> RESPONSE);
       for (int i = 0; i < WORKERS; i++) {
         workers.add(new WarmupWorker("warmup-" + i));
-        scheduler.workerListed(listing(workers.get(i).id(), server.activeLocalPort()));
+        scheduler.workerListed(listing(workers.get(i).id(), port));
       }
       for (int round = 0; round < ROUNDS && mayContinue.getAsBoolean(); round++) {
         long requestsBefore = requestCount.getAsLong();
@@ -128,8 +125,6 @@
         boolean busy = requestCount.getAsLong() > requestsBefore;
         Thread.sleep((busy ? BUSY_PAUSE_FACTOR : IDLE_PAUSE_FACTOR) * roundNanos / 1_000_000);
       }
-    } finally {
-      CompletableFuture<Void> unused = server.stop();
     }
     return completed;
   }
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -1,29 +1,30 @@
 package org.lavenderstage.entry.job;
 
-import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.client.WebClient;
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.util.EventLoopGroups;
-import com.linecorp.armeria.server.Server;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Future;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.jar.JarFile;
+import org.lavenderstage.http.EventLoops;
+import org.lavenderstage.http.Http1Client;
+import org.lavenderstage.http.Http1Handler;
+import org.lavenderstage.http.Http1Request;
+import org.lavenderstage.http.Http1Response;
+import org.lavenderstage.http.Http1Server;
 import org.lavenderstage.platform.InvalidSettingException;
 import org.lavenderstage.platform.NodeSettings;
 import org.lavenderstage.platform.NodeSettingsReader;
 import org.lavenderstage.platform.PlatformHttp;
 import org.lavenderstage.platform.PlatformWorkers;
 import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.event.LogEvent;
 
 /**
  * Runs an entry on the loopback interface for a short time with an empty store. The build records
@@ -41,8 +42,14 @@
 
   private static final long POLL_MILLIS = 20;
 
-  /** Response of the store to all requests: an end and a first offset of 0, and no records. */
-  private static final byte[] EMPTY_LOG = new byte[16];
+  private static final int TIMEOUT_MILLIS = 5_000;
+  private static final int MAX_BODY_BYTES = 65_536;
+  private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
+  /** Reply of the store to all requests: an end and a first offset of 0, and no records. */
+  private static final CompletableFuture<Http1Handler.Reply> EMPTY_LOG_REPLY =
+      CompletableFuture.completedFuture(
+          new Http1Handler.Reply(Http1Response.of(200, new byte[16]), false));
 
   private static final NodeSettings.Bounds BOUNDS =
       new NodeSettings.Bounds(6_000, 300, 6_000, 120_000);
@@ -60,16 +67,23 @@
    */
   public static void main(String[] arguments) throws IOException, InterruptedException {
     EventLog.useJson(true);
-    ClientFactory.disableShutdownHook();
     boolean ready = runEntry(List.of(arguments));
     System.exit(ready ? 0 : 1);
   }
 
   /** Runs the entry. Returns whether it owned the jobs in the end. */
   static boolean runEntry(List<String> jars) throws IOException, InterruptedException {
-    Server store =
-        Server.builder().http(loopback(0)).serviceUnder("/", (c, r) -> emptyLogResponse()).build();
-    store.start().join();
+    EventLoopGroup eventLoops = EventLoops.create("rehearsal");
+    try (Http1Server store = new Http1Server(eventLoops, MAX_BODY_BYTES, IDLE_TIMEOUT_MILLIS)) {
+      int storePort = store.listen(LOOPBACK, 0, request -> EMPTY_LOG_REPLY);
+      return runEntry(jars, storePort, eventLoops);
+    } finally {
+      EventLoops.shutDown(eventLoops);
+    }
+  }
+
+  private static boolean runEntry(List<String> jars, int storePort, EventLoopGroup eventLoops)
+      throws IOException, InterruptedException {
     List<Integer> ports = freePorts(4);
     NodeSettings settings =
         new NodeSettings(
@@ -81,13 +95,11 @@
             ports.get(2),
             ports.get(3),
             CPU_MILLIS,
-            LOOPBACK + ":" + store.activeLocalPort(),
+            LOOPBACK + ":" + storePort,
             BOUNDS);
     try (JobEntry entry = new JobEntry(settings)) {
       entry.start();
-      WebClient caller = WebClient.of("h1c://" + LOOPBACK + ":" + settings.callerPort());
-      caller.get("/").aggregate().join();
-      caller.post("/job", "{}").aggregate().join();
+      callEntry(LOOPBACK + ":" + settings.callerPort(), eventLoops);
       for (String jar : jars) {
         loadClasses(Path.of(jar));
       }
@@ -97,28 +109,30 @@
         Thread.sleep(POLL_MILLIS);
       }
       Thread.sleep(RUN_AFTER_CLAIM_MILLIS);
-      warmUpOwner();
+      warmUpOwner(eventLoops);
       return entry.ownsJobs();
-    } finally {
-      store.stop().join();
     }
   }
 
-  private static void warmUpOwner() throws InterruptedException {
-    EventLoopGroup eventLoops = EventLoopGroups.newEventLoopGroup(1, "rehearsal", true);
-    try (PlatformHttp http = new PlatformHttp(eventLoops)) {
-      new OwnerWarmup(new PlatformWorkers(http), eventLoops, () -> true, () -> 0).run();
-    } finally {
-      Future<?> unused = eventLoops.shutdownGracefully();
+  private static void callEntry(String address, EventLoopGroup eventLoops)
+      throws InterruptedException {
+    try (Http1Client caller = new Http1Client(eventLoops, TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS)) {
+      for (Http1Request request :
+          List.of(Http1Request.get("/"), Http1Request.post("/job", new byte[] {'{', '}'}))) {
+        caller
+            .send(address, request, TIMEOUT_MILLIS)
+            .handle((response, failure) -> 0)
+            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    } catch (ExecutionException | TimeoutException e) {
+      EventLog.warn(LogEvent.DUTY_FAILED, "duty", "rehearsal", "cause", e);
     }
   }
 
-  private static HttpResponse emptyLogResponse() {
-    return HttpResponse.of(HttpStatus.OK, MediaType.OCTET_STREAM, HttpData.wrap(EMPTY_LOG));
-  }
-
-  private static InetSocketAddress loopback(int port) {
-    return new InetSocketAddress(LOOPBACK, port);
+  private static void warmUpOwner(EventLoopGroup eventLoops) throws InterruptedException {
+    try (PlatformHttp http = new PlatformHttp(eventLoops)) {
+      new OwnerWarmup(new PlatformWorkers(http), eventLoops, () -> true, () -> 0).run();
+    }
   }
 
   private static List<Integer> freePorts(int count) throws IOException {
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerWarmupTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerWarmupTest.java
@@ -3,29 +3,28 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.netty.channel.EventLoopGroup;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.clients.WorkerOrders;
 import org.lavenderstage.core.pool.Order;
+import org.lavenderstage.http.EventLoops;
 import org.lavenderstage.platform.PlatformHttp;
 import org.lavenderstage.platform.PlatformWorkers;
 
 class OwnerWarmupTest {
   private static final int MIN_COMPLETED = 20;
 
-  private final EventLoopGroup eventLoops = EventLoopGroups.newEventLoopGroup(1, "warmup-test");
+  private final EventLoopGroup eventLoops = EventLoops.create("warmup-test");
   private final PlatformHttp http = new PlatformHttp(eventLoops);
   private final Set<Class<?>> sentOrders = ConcurrentHashMap.newKeySet();
 
   @AfterEach
   void close() {
     http.close();
-    Future<?> unused = eventLoops.shutdownGracefully();
+    EventLoops.shutDown(eventLoops);
   }
 
   private WorkerOrders orders() {
--- /dev/null
+++ b/http/src/main/java/org/lavenderstage/http/Http1Client.java
@@ -0,0 +1,200 @@
+package org.lavenderstage.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * HTTP/1.1 client that keeps connections open between calls. Each connection carries one call at a
+ * time; a connection whose call failed or timed out is closed. All work is done by one event loop.
+ */
+public final class Http1Client implements AutoCloseable {
+  private static final int MAX_PORT = 65_535;
+
+  /** Interval at which idle connections are checked, as a fraction of the idle timeout. */
+  private static final int CHECKS_PER_IDLE_TIMEOUT = 4;
+
+  private final EventLoop loop;
+  private final Bootstrap bootstrap;
+  private final long idleTimeoutMillis;
+
+  /** Idle connections by address, the most recently used first. Used only by the event loop. */
+  private final Map<String, Deque<ClientConnection>> idleConnections = new HashMap<>();
+
+  private final ScheduledFuture<?> idleCheck;
+  private boolean closed;
+
+  /**
+   * Creates a client.
+   *
+   * @param loops event loops, of which the client uses one; not closed with the client
+   * @param connectTimeoutMillis timeout for opening a connection
+   * @param idleTimeoutMillis time after which an idle connection is closed
+   */
+  public Http1Client(EventLoopGroup loops, int connectTimeoutMillis, long idleTimeoutMillis) {
+    this.idleTimeoutMillis = idleTimeoutMillis;
+    loop = loops.next();
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec());
+                  }
+                });
+    long intervalMillis = Math.max(1, idleTimeoutMillis / CHECKS_PER_IDLE_TIMEOUT);
+    idleCheck =
+        loop.scheduleWithFixedDelay(
+            this::closeIdleConnections, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends a request. Never throws: a call that cannot be made, for example because the address is
+   * invalid, completes its future exceptionally.
+   *
+   * @param address IPv4 address and port
+   * @param request the request, used for this call only; the client adds headers
+   * @param timeoutMillis timeout of the response, from the time at which the request is written
+   * @return the response; completed by the event loop
+   */
+  public CompletableFuture<Http1Response> send(
+      String address, Http1Request request, long timeoutMillis) {
+    Exchange exchange = new Exchange(address, request, timeoutMillis, new CompletableFuture<>());
+    try {
+      loop.execute(() -> start(exchange));
+    } catch (RejectedExecutionException e) {
+      exchange.response().completeExceptionally(e);
+    }
+    return exchange.response();
+  }
+
+  /** A call and its future response. */
+  record Exchange(
+      String address,
+      Http1Request request,
+      long timeoutMillis,
+      CompletableFuture<Http1Response> response) {
+    void fail(String cause) {
+      response.completeExceptionally(new IOException(cause));
+    }
+  }
+
+  private void start(Exchange exchange) {
+    if (closed) {
+      exchange.fail("the client is closed");
+      return;
+    }
+    Deque<ClientConnection> idle = idleConnections.get(exchange.address());
+    ClientConnection connection = idle == null ? null : idle.pollFirst();
+    if (connection != null) {
+      connection.send(exchange);
+      return;
+    }
+    InetSocketAddress address;
+    try {
+      address = parse(exchange.address());
+    } catch (IOException e) {
+      exchange.response().completeExceptionally(e);
+      return;
+    }
+    ChannelFuture unused =
+        bootstrap
+            .connect(address)
+            .addListener(result -> connected(exchange, (ChannelFuture) result));
+  }
+
+  private void connected(Exchange exchange, ChannelFuture result) {
+    if (!result.isSuccess()) {
+      exchange.response().completeExceptionally(result.cause());
+      return;
+    }
+    ClientConnection connection = new ClientConnection(this, exchange.address());
+    result.channel().pipeline().addLast(connection);
+    connection.send(exchange);
+  }
+
+  /** Keeps a connection for the next call to the same address. */
+  void release(ClientConnection connection) {
+    if (closed) {
+      connection.close();
+      return;
+    }
+    idleConnections
+        .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
+        .addFirst(connection);
+  }
+
+  /** Removes a connection that was closed. */
+  void remove(ClientConnection connection) {
+    Deque<ClientConnection> idle = idleConnections.get(connection.address());
+    if (idle != null && idle.remove(connection) && idle.isEmpty()) {
+      idleConnections.remove(connection.address());
+    }
+  }
+
+  private void closeIdleConnections() {
+    idleConnections.values().stream()
+        .flatMap(Deque::stream)
+        .filter(connection -> connection.idleMillis() >= idleTimeoutMillis)
+        .toList()
+        .forEach(ClientConnection::close);
+  }
+
+  /** Parses an IPv4 address and port; names are not looked up. */
+  private static InetSocketAddress parse(String address) throws IOException {
+    int colon = address.lastIndexOf(':');
+    byte[] ip =
+        colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
+    try {
+      int port = ip == null ? -1 : Integer.parseInt(address.substring(colon + 1));
+      if (port > 0 && port <= MAX_PORT) {
+        return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+      }
+    } catch (NumberFormatException | UnknownHostException e) {
+      throw new IOException("expected an IPv4 address and port, found " + address, e);
+    }
+    throw new IOException("expected an IPv4 address and port, found " + address);
+  }
+
+  /** Closes the idle connections; calls that are pending go on. */
+  @Override
+  public void close() {
+    idleCheck.cancel(false);
+    try {
+      loop.execute(
+          () -> {
+            closed = true;
+            idleConnections.values().stream()
+                .flatMap(Deque::stream)
+                .toList()
+                .forEach(ClientConnection::close);
+          });
+    } catch (RejectedExecutionException e) {
+      // the event loop has ended, and its connections with it
+    }
+  }
+}
