--- a/core/src/main/java/org/lavenderstage/core/placement/Resources.java
+++ b/core/src/main/java/org/lavenderstage/core/placement/Resources.java
@@ -12,14 +12,17 @@
   public static final Resources NONE = new Resources(0, 0, 0);
 
   /**
-   * Returns the sum of this amount and another.
+   * Returns the sum of this amount and another. A component that an int cannot hold becomes the
+   * largest one, so that no sum turns negative.
    *
    * @param other the amount to add
    * @return the sum
    */
   public Resources plus(Resources other) {
     return new Resources(
-        cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators);
+        clamp((long) cpuMillis + other.cpuMillis),
+        clamp((long) memoryMb + other.memoryMb),
+        clamp((long) accelerators + other.accelerators));
   }
 
   /**
@@ -30,7 +33,13 @@
    */
   public Resources minus(Resources other) {
     return new Resources(
-        cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
+        clamp((long) cpuMillis - other.cpuMillis),
+        clamp((long) memoryMb - other.memoryMb),
+        clamp((long) accelerators - other.accelerators));
+  }
+
+  private static int clamp(long amount) {
+    return Math.clamp(amount, Integer.MIN_VALUE, Integer.MAX_VALUE);
   }
 
   /**
--- a/entry/src/main/java/org/lavenderstage/entry/duty/BackgroundThread.java
+++ b/entry/src/main/java/org/lavenderstage/entry/duty/BackgroundThread.java
@@ -5,7 +5,8 @@
 import org.lavenderstage.wire.event.LogEvent;
 
 /**
- * A daemon thread that repeats a step until it is closed. A failure is logged and the step retried.
+ * A daemon thread that repeats a step until it is closed. A failure, also an unexpected error, is
+ * logged and the step retried.
  */
 public final class BackgroundThread implements AutoCloseable {
   private static final long FAILURE_DELAY_NANOS = 100_000_000;
@@ -45,7 +46,8 @@
         step.run();
       } catch (InterruptedException e) {
         return;
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
+        // An error, such as a lack of memory, must not end the duty of a process that goes on.
         EventLog.warn(LogEvent.DUTY_FAILED, "duty", thread.getName(), "cause", e);
         LockSupport.parkNanos(FAILURE_DELAY_NANOS);
       }
--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -105,9 +105,15 @@
   }
 
   private CompletableFuture<Http1Handler.Reply> serve(Http1Request request) {
-    return answer(request, Clocks.monotonicMillis())
-        .thenApply(
-            answer -> new Http1Handler.Reply(CallFormat.response(answer), draining.getAsBoolean()));
+    CompletableFuture<JobAnswer> answer;
+    try {
+      answer = answer(request, Clocks.monotonicMillis());
+    } catch (RuntimeException e) {
+      EventLog.warn(LogEvent.DUTY_FAILED, "duty", "call", "cause", e);
+      throw e;
+    }
+    return answer.thenApply(
+        known -> new Http1Handler.Reply(CallFormat.response(known), draining.getAsBoolean()));
   }
 
   private CompletableFuture<JobAnswer> answer(Http1Request request, long arrivedAtMillis) {
@@ -127,6 +133,12 @@
     if (verb.isEmpty()) {
       return CompletableFuture.completedFuture(new JobAnswer.Malformed("no such method"));
     }
+    if (!job.isEmpty() && !CallFormat.isJobIdentifier(job)) {
+      return CompletableFuture.completedFuture(
+          verb.get() == JobVerb.SUBMIT
+              ? new JobAnswer.Malformed("the job has no valid identifier")
+              : new JobAnswer.UnknownJob());
+    }
     String id = job + "/" + settings.vm() + "/" + requestCount.incrementAndGet();
     long callerDeadlineMillis = CallFormat.deadlineMillis(request).orElse(DEFAULT_DEADLINE_MILLIS);
     Optional<JobRecord> submission = Optional.empty();
--- a/entry/src/main/java/org/lavenderstage/entry/job/ListingUpdates.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ListingUpdates.java
@@ -53,12 +53,14 @@
       }
       return;
     }
+    unreadable.remove(record.key());
     if (!listing.get().equals(listings.put(record.key(), listing.get()))) {
       scheduler.workerListed(listing.get());
     }
   }
 
   private void remove(String id) {
+    unreadable.remove(id);
     if (listings.remove(id) != null) {
       scheduler.workerUnlisted(id);
     }
--- a/entry/src/main/java/org/lavenderstage/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/peer/PeerServer.java
@@ -12,12 +12,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import org.lavenderstage.wire.codec.PeerCodec;
+import org.lavenderstage.wire.event.EventLog;
+import org.lavenderstage.wire.event.LogEvent;
 import org.lavenderstage.wire.peer.PeerMessage;
 
 /** Server of the peer links. A thread per connection reads messages and writes the replies. */
 public final class PeerServer implements AutoCloseable {
   private static final int BACKLOG = 64;
+  private static final long FAILURE_DELAY_NANOS = 100_000_000;
 
   private final ServerSocket socket;
   private final PeerHandler handler;
@@ -50,8 +54,12 @@
         Socket connection = socket.accept();
         connections.add(connection);
         Thread.ofPlatform().daemon().name("peer-serve").start(() -> serve(connection));
-      } catch (IOException e) {
-        return;
+      } catch (IOException | RuntimeException | Error e) {
+        if (!socket.isClosed()) {
+          // A lack of descriptors or threads passes; the next connection may succeed.
+          EventLog.warn(LogEvent.DUTY_FAILED, "duty", "peer-accept", "cause", e);
+          LockSupport.parkNanos(FAILURE_DELAY_NANOS);
+        }
       }
     }
   }
@@ -71,6 +79,8 @@
       }
     } catch (IOException e) {
       // the peer closed the connection or failed; it connects again when needed
+    } catch (RuntimeException | Error e) {
+      EventLog.warn(LogEvent.DUTY_FAILED, "duty", "peer-serve", "cause", e);
     } finally {
       connections.remove(connection);
     }
