--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -32,7 +32,7 @@
    */
   private static final long RUN_LEASE_MILLIS = 6_000;
 
-  /** Interval at which the warm-up checks whether there is an owner, in milliseconds. */
+  /** Interval at which the warm-up checks whether this entry is a successor, in milliseconds. */
   private static final long WARMUP_CHECK_MILLIS = 200;
 
   private final NodeSettings settings;
@@ -64,7 +64,7 @@
     store = new PlatformStore(http, settings.storeAddress());
     StoreMonitor storeMonitor = new StoreMonitor(store, Clocks::monotonicMillis);
     configuration = new ConfigurationWatcher(storeMonitor);
-    members = new Members(storeMonitor, entry, peerAddress);
+    members = new Members(storeMonitor, entry, peerAddress, settings.cpuMillis());
     PoolTiming timing =
         new PoolTiming(
             Math.min(RUN_LEASE_MILLIS, settings.bounds().maxLeaseMillis()),
@@ -109,7 +109,7 @@
             .start(
                 () -> {
                   try {
-                    while (!isReady()) {
+                    while (!isReady() || !election.isSuccessor()) {
                       Thread.sleep(WARMUP_CHECK_MILLIS);
                     }
                     int completed = warmup.run();
--- a/entry/src/main/java/org/lavenderstage/entry/job/Members.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/Members.java
@@ -31,16 +31,18 @@
   private final TopicReader reader;
   private final String entry;
   private final String peerAddress;
+  private final int processorMillis;
   private final Map<String, MemberRecord> members = new ConcurrentHashMap<>();
   private volatile boolean announced;
   private volatile long term;
   private BackgroundThread thread;
 
-  Members(KeyedLog log, String entry, String peerAddress) {
+  Members(KeyedLog log, String entry, String peerAddress, int processorMillis) {
     this.log = log;
     this.reader = new TopicReader(log, LogTopic.MEMBERS);
     this.entry = entry;
     this.peerAddress = peerAddress;
+    this.processorMillis = processorMillis;
   }
 
   void start() {
@@ -96,7 +98,7 @@
 
   private void appendAnnouncement() throws InterruptedException {
     long announcedTerm = term;
-    MemberRecord record = new MemberRecord(entry, peerAddress, announcedTerm);
+    MemberRecord record = new MemberRecord(entry, peerAddress, announcedTerm, processorMillis);
     KeyedRecord keyed = new KeyedRecord(entry, Optional.of(StoredCodec.encode(record)));
     KeyedLog.Append result =
         TopicReader.awaitResult(log.append(LogTopic.MEMBERS, OptionalLong.empty(), List.of(keyed)));
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.lavenderstage.core.job.MemberRecord;
 import org.lavenderstage.entry.duty.BackgroundThread;
@@ -24,8 +25,11 @@
  * entries from claiming at once.
  */
 final class OwnerElection implements AutoCloseable {
-  /** Interval between two queries to the owner, in milliseconds. */
-  private static final long POLL_INTERVAL_MILLIS = 200;
+  /** Interval between two checks while the owner is not known to be well, in milliseconds. */
+  private static final long CHECK_INTERVAL_MILLIS = 200;
+
+  /** How long another entry's candidacy makes this one check the owner often, in milliseconds. */
+  private static final long SUSPICION_MILLIS = 2_000;
 
   /** Time without a reply after which an owner counts as lost, in milliseconds; several polls. */
   private static final long OWNER_TIMEOUT_MILLIS = 900;
@@ -45,9 +49,6 @@
   /** Longest wait for the reply of another entry, in milliseconds; many round trips. */
   private static final int REPLY_TIMEOUT_MILLIS = 350;
 
-  /** Delay of a claim for each preferred entry, in milliseconds; about the duration of a claim. */
-  private static final long CLAIM_DELAY_PER_RANK_MILLIS = 500;
-
   /** How long a query shows that its sender still follows this owner, in milliseconds. */
   private static final long FOLLOWER_TIMEOUT_MILLIS = 1_000;
 
@@ -64,6 +65,8 @@
   private volatile long ownerLastHeardMillis;
   private volatile long ownerChangedMillis;
   private volatile boolean released;
+  private volatile long suspectedUntilMillis;
+  private final Semaphore wakeUps = new Semaphore(0);
   private long candidateSinceMillis;
   private BackgroundThread thread;
 
@@ -116,7 +119,25 @@
     } else {
       checkOwner();
     }
-    Thread.sleep(POLL_INTERVAL_MILLIS);
+    if (wakeUps.tryAcquire(intervalMillis(), TimeUnit.MILLISECONDS)) {
+      wakeUps.drainPermits();
+    }
+  }
+
+  private long intervalMillis() {
+    boolean ownerFollowed =
+        candidateSinceMillis == 0
+            && owner.term() > 0
+            && ownership.current().isEmpty()
+            && Clocks.monotonicMillis() >= suspectedUntilMillis;
+    return ownerFollowed
+        ? claimOrder.pollIntervalMillis(owner.entry(), members.others())
+        : CHECK_INTERVAL_MILLIS;
+  }
+
+  /** Returns whether this entry is one of the few that are to replace the owner. */
+  boolean isSuccessor() {
+    return owner.term() > 0 && claimOrder.isSuccessor(owner.entry(), members.others());
   }
 
   private void checkOwner() throws InterruptedException {
@@ -178,7 +199,7 @@
     if (store.silentMillis() >= STORE_TIMEOUT_MILLIS) {
       return;
     }
-    List<OwnershipReply> replies = queryMembers();
+    List<OwnershipReply> replies = queryMembers(replacedOwner.entry());
     for (OwnershipReply reply : replies) {
       if (reply.term() > replacedOwner.term()) {
         updateOwner(new OwnerView(reply.term(), reply.owner(), reply.ownerAddress()));
@@ -193,15 +214,17 @@
         return;
       }
     }
-    long rank = claimOrder.countPreferred(replacedOwner.entry(), replies, STORE_TIMEOUT_MILLIS);
-    if (nowMillis - candidateSinceMillis >= rank * CLAIM_DELAY_PER_RANK_MILLIS) {
+    long delayMillis =
+        claimOrder.claimDelayMillis(
+            replacedOwner.entry(), members.others(), replies, STORE_TIMEOUT_MILLIS);
+    if (nowMillis - candidateSinceMillis >= delayMillis) {
       claim(replacedOwner.term());
     }
   }
 
-  private List<OwnershipReply> queryMembers() throws InterruptedException {
+  private List<OwnershipReply> queryMembers(String replacedOwner) throws InterruptedException {
     List<Callable<Optional<PeerMessage>>> queries = new ArrayList<>();
-    for (MemberRecord member : members.others()) {
+    for (MemberRecord member : claimOrder.entriesToAsk(replacedOwner, members.others())) {
       queries.add(() -> links.ask(member.peerAddress(), createQuery()));
     }
     List<OwnershipReply> replies = new ArrayList<>();
@@ -267,9 +290,25 @@
     } else {
       followers.addFollower(query.entry(), Clocks.monotonicMillis());
     }
+    if (query.term() == owner.term() && ownership.current().isEmpty()) {
+      suspectOwner();
+    }
     return createReply();
   }
 
+  /**
+   * Checks the owner at once, and often for a while: only candidates query entries that are not the
+   * owner.
+   */
+  private void suspectOwner() {
+    long nowMillis = Clocks.monotonicMillis();
+    boolean alreadySuspected = nowMillis < suspectedUntilMillis;
+    suspectedUntilMillis = nowMillis + SUSPICION_MILLIS;
+    if (!alreadySuspected) {
+      wakeUps.release();
+    }
+  }
+
   /** Handles another entry's announcement, and replies with the owner known afterwards. */
   OwnershipReply handleAnnouncement(OwnershipReply announcement) {
     updateOwner(
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -7,17 +7,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.jar.JarFile;
 import org.lavenderstage.http.EventLoops;
 import org.lavenderstage.http.Http1Client;
-import org.lavenderstage.http.Http1Handler;
 import org.lavenderstage.http.Http1Request;
-import org.lavenderstage.http.Http1Response;
 import org.lavenderstage.http.Http1Server;
+import org.lavenderstage.platform.EmptyStore;
 import org.lavenderstage.platform.InvalidSettingException;
 import org.lavenderstage.platform.NodeSettings;
 import org.lavenderstage.platform.NodeSettingsReader;
@@ -46,11 +44,6 @@
   private static final int MAX_BODY_BYTES = 65_536;
   private static final long IDLE_TIMEOUT_MILLIS = 15_000;
 
-  /** Reply of the store to all requests: an end and a first offset of 0, and no records. */
-  private static final CompletableFuture<Http1Handler.Reply> EMPTY_LOG_REPLY =
-      CompletableFuture.completedFuture(
-          new Http1Handler.Reply(Http1Response.of(200, new byte[16]), false));
-
   private static final NodeSettings.Bounds BOUNDS =
       new NodeSettings.Bounds(6_000, 300, 6_000, 120_000);
 
@@ -75,7 +68,7 @@
   static boolean runEntry(List<String> jars) throws IOException, InterruptedException {
     EventLoopGroup eventLoops = EventLoops.create("rehearsal");
     try (Http1Server store = new Http1Server(eventLoops, MAX_BODY_BYTES, IDLE_TIMEOUT_MILLIS)) {
-      int storePort = store.listen(LOOPBACK, 0, request -> EMPTY_LOG_REPLY);
+      int storePort = store.listen(LOOPBACK, 0, new EmptyStore());
       return runEntry(jars, storePort, eventLoops);
     } finally {
       EventLoops.shutDown(eventLoops);
--- a/entry/src/test/java/org/lavenderstage/entry/job/IncarnationTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/IncarnationTest.java
@@ -21,11 +21,11 @@
 
   private static Members startMembersKnowing(Incarnation announced) throws InterruptedException {
     InMemoryKeyedLog log = new InMemoryKeyedLog();
-    MemberRecord record = new MemberRecord(announced.toString(), "10.0.0.1:1", 0);
+    MemberRecord record = new MemberRecord(announced.toString(), "10.0.0.1:1", 0, 300);
     KeyedRecord keyed =
         new KeyedRecord(announced.toString(), Optional.of(StoredCodec.encode(record)));
     log.append(LogTopic.MEMBERS, OptionalLong.empty(), List.of(keyed)).join();
-    Members members = new Members(log, OTHER_VM.toString(), "10.0.0.2:1");
+    Members members = new Members(log, OTHER_VM.toString(), "10.0.0.2:1", 300);
     members.start();
     long deadlineMillis = Clocks.monotonicMillis() + TIMEOUT_MILLIS;
     while (members.others().isEmpty() && Clocks.monotonicMillis() < deadlineMillis) {
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
@@ -125,7 +125,7 @@
       server = new PeerServer("127.0.0.1", 0, this::handle);
       String peerAddress = "127.0.0.1:" + server.port();
       StoreMonitor monitor = new StoreMonitor(path, Clocks::monotonicMillis);
-      members = new Members(monitor, name, peerAddress);
+      members = new Members(monitor, name, peerAddress, 300);
       configuration = new ConfigurationWatcher(monitor);
       ownership = TestOwnership.managerOf(monitor);
       election = new OwnerElection(name, peerAddress, 300, members, monitor, ownership);
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
@@ -370,7 +370,7 @@
   @Test
   void entryWithLaterOwnerDoesNotFollowThisOne() {
     InMemoryKeyedLog log = new InMemoryKeyedLog();
-    Members members = new Members(log, "a@1", "a:1");
+    Members members = new Members(log, "a@1", "a:1", 300);
     OwnerElection election =
         new OwnerElection(
             "a@1",
