Shorten the start of an entry, and warm up an owner that is not used yet

Cause: the class path of an entry held Armeria and 37 JARs that it never uses, opened for each class that is not archived; the rehearsal read no valid settings, and Netty logged through SLF4J, whose classes cannot be archived. The first owner ran its code for the first time when the first jobs came.

--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -100,8 +100,7 @@
 
   private void warmUpOwner() {
     OwnerWarmup warmup =
-        new OwnerWarmup(
-            workers, eventLoops, () -> !draining && !ownsJobs(), frontServer::requestCount);
+        new OwnerWarmup(workers, eventLoops, this::mayWarmUp, frontServer::requestCount);
     warmupThread =
         Thread.ofPlatform()
             .daemon()
@@ -109,7 +108,7 @@
             .start(
                 () -> {
                   try {
-                    while (!isReady() || !election.isSuccessor()) {
+                    while (!isReady() || !(ownsJobs() || election.isSuccessor())) {
                       Thread.sleep(WARMUP_CHECK_MILLIS);
                     }
                     int completed = warmup.run();
@@ -122,6 +121,13 @@
                 });
   }
 
+  /**
+   * Returns whether this entry may spend time on the warm-up: an owner only before its first call.
+   */
+  private boolean mayWarmUp() {
+    return !draining && !ownership.current().map(JobOwner::isUsed).orElse(false);
+  }
+
   private boolean isReady() {
     return !draining && configuration.active().isPresent() && election.owner().term() > 0;
   }
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -75,6 +75,7 @@
   private volatile boolean deposed;
   private volatile boolean closed;
   private volatile boolean parked;
+  private volatile boolean used;
   private long lastStepMillis;
   private long lastWallOffsetMillis;
   private long confirmationNeededSinceMillis;
@@ -106,9 +107,15 @@
 
   /** Loads the stored records; called before the start. */
   void load(List<StoredRecord> records) {
+    used = !records.isEmpty();
     scheduler.load(records, Clocks.monotonicMillis(), Clocks.wallMillis());
   }
 
+  /** Returns whether there were jobs at the claim or any call has come since. */
+  boolean isUsed() {
+    return used;
+  }
+
   void start() {
     stepThread = new BackgroundThread("owner", this::step);
   }
@@ -140,6 +147,7 @@
     if (closed || deposed) {
       return CompletableFuture.completedFuture(OWNER_CHANGED_ANSWER);
     }
+    used = true;
     QueuedCall queued = new QueuedCall(call);
     if (calls.offer(queued)) {
       queued.rejectInTime(Clocks.monotonicMillis());
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -142,12 +142,13 @@
     return ports;
   }
 
-  private static void readSettings() {
+  private static void readSettings() throws IOException {
     try {
-      NodeSettingsReader.read("rehearsal = true");
+      NodeSettingsReader.readSample();
     } catch (InvalidSettingException e) {
-      // expected, since the text is invalid; it is read to load the classes of the reader
+      throw new IllegalStateException("the sample of the settings is not valid", e);
     }
+    SighupHandler.ignore();
   }
 
   private static void loadClasses(Path jar) throws IOException {
--- a/http/src/main/java/org/lavenderstage/http/EventLoops.java
+++ b/http/src/main/java/org/lavenderstage/http/EventLoops.java
@@ -5,9 +5,16 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 
 /** Creates the event loops that the clients and servers of a process share. */
 public final class EventLoops {
+  static {
+    // Netty's default, SLF4J, consists of classes that cannot be archived, which slows the start.
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+  }
+
   private EventLoops() {}
 
   /**
--- a/launcher/src/test/java/org/lavenderstage/launcher/BoundaryTest.java
+++ b/launcher/src/test/java/org/lavenderstage/launcher/BoundaryTest.java
@@ -31,7 +31,8 @@
     Path root = Path.of(System.getProperty("repository.root"));
     List<String> found = new ArrayList<>();
     for (String module :
-        List.of("core", "wire", "clients", "entry", "ctl", "standin", "bench", "launcher")) {
+        List.of(
+            "core", "http", "wire", "clients", "entry", "ctl", "standin", "bench", "launcher")) {
       try (Stream<Path> files = Files.walk(root.resolve(module).resolve("src/main"))) {
         for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
           if (PLATFORM_NAMES.matcher(Files.readString(file)).find()) {
@@ -43,6 +44,28 @@
     assertEquals(List.of(), found);
   }
 
+  /** The image of an entry on the platform has no Armeria, which its VMs are too small for. */
+  @Test
+  void theEntryOnThePlatformDoesNotUseArmeria() {
+    ArchRuleDefinition.noClasses()
+        .that()
+        .resideInAnyPackage(
+            "org.lavenderstage.entry.job..",
+            "org.lavenderstage.entry.peer..",
+            "org.lavenderstage.entry.duty..",
+            "org.lavenderstage.http..",
+            "org.lavenderstage.platform..",
+            "org.lavenderstage.core..",
+            "org.lavenderstage.wire..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("com.linecorp.armeria..")
+        .check(
+            new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
+                .importPackages("org.lavenderstage"));
+  }
+
   @Test
   void theAdapterUsesNoSchedulerAndNoThreads() {
     ArchRuleDefinition.noClasses()
