Reject a request that reached no owner in time instead of leaving its outcome open

Cause: a caller whose request waited in its entry, or found no owner, until its time was over was answered 504 all the same, so that it could not try an unsafe request again. Change: a forwarded call knows whether an owner may have received it; one that was never sent is answered 503 with Retry-After, and is not sent afterwards (CallRouterTest).

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -49,9 +49,6 @@
   /** Time reserved for sending the answer to the caller, in milliseconds. */
   private static final long ANSWER_MARGIN_MILLIS = 60;
 
-  /** Time after which callers should retry while there is no owner, in milliseconds. */
-  private static final long NO_OWNER_RETRY_AFTER_MILLIS = 1_000;
-
   private final OwnerElection election;
   private final OwnershipManager ownership;
   private final PeerLinkPool links = new PeerLinkPool(REPLY_TIMEOUT_MILLIS);
@@ -93,48 +90,35 @@
   }
 
   private CompletableFuture<JobAnswer> forward(JobCall call, boolean outcomeUnknown) {
-    CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+    ForwardedCall forwarded = new ForwardedCall(call, outcomeUnknown);
     try {
-      forwardExecutor.execute(() -> answer.complete(retryUntilAnswered(call, outcomeUnknown)));
+      forwardExecutor.execute(() -> retryUntilAnswered(forwarded));
     } catch (RejectedExecutionException e) {
-      answer.complete(
-          outcomeUnknown
-              ? new JobAnswer.Undecided("too many requests wait")
-              : new JobAnswer.Rejected("too many requests wait", NO_OWNER_RETRY_AFTER_MILLIS));
+      forwarded.giveUp("too many requests wait");
     }
-    return withTimeout(answer, call.answerByMillis() - Clocks.monotonicMillis());
-  }
-
-  /**
-   * Answers a caller in time that the outcome of its request is unknown. The link to the owner
-   * keeps waiting for the reply, since closing it would cost a busy owner a new connection for each
-   * late reply.
-   */
-  static CompletableFuture<JobAnswer> withTimeout(
-      CompletableFuture<JobAnswer> answer, long remainingMillis) {
-    return answer.completeOnTimeout(
-        new JobAnswer.Undecided("the owner of the jobs gave no answer in time"),
-        Math.max(1, remainingMillis),
-        TimeUnit.MILLISECONDS);
+    forwarded.answerAfter(call.answerByMillis() - Clocks.monotonicMillis());
+    return forwarded.answer();
   }
 
-  private JobAnswer retryUntilAnswered(JobCall call, boolean outcomeUnknownBefore) {
-    boolean outcomeUnknown = outcomeUnknownBefore;
+  private void retryUntilAnswered(ForwardedCall forwarded) {
+    JobCall call = forwarded.call();
     long retryUntilMillis = Clocks.monotonicMillis() + MAX_RETRY_MILLIS;
     long latestMillis = call.answerByMillis() - ANSWER_MARGIN_MILLIS;
     String why = "the jobs have no owner";
-    while (Clocks.monotonicMillis() < latestMillis && !stopping) {
+    while (Clocks.monotonicMillis() < latestMillis && !stopping && forwarded.beginAttempt()) {
       JobAnswer answer = tryCurrentOwner(call);
+      forwarded.endAttempt(answer instanceof JobAnswer.Undecided);
       if (answer instanceof JobAnswer.Undecided undecidedAnswer) {
-        outcomeUnknown = true;
         why = undecidedAnswer.why();
       } else if (answer instanceof JobAnswer.Rejected rejected) {
-        if (rejected.retryAfterMillis() > 0 && !outcomeUnknown) {
-          return rejected;
+        if (rejected.retryAfterMillis() > 0 && !forwarded.isOutcomeUnknown()) {
+          forwarded.complete(rejected);
+          return;
         }
         why = rejected.why();
       } else {
-        return answer;
+        forwarded.complete(answer);
+        return;
       }
       if (Clocks.monotonicMillis() >= retryUntilMillis) {
         break;
@@ -146,9 +130,7 @@
         break;
       }
     }
-    return outcomeUnknown
-        ? new JobAnswer.Undecided(why)
-        : new JobAnswer.Rejected(why, NO_OWNER_RETRY_AFTER_MILLIS);
+    forwarded.giveUp(why);
   }
 
   /**
--- /dev/null
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ForwardedCall.java
@@ -0,0 +1,87 @@
+package org.lavenderstage.entry.job;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lavenderstage.core.job.JobAnswer;
+
+/**
+ * A caller's request that is forwarded to the owner of the jobs. A caller that is answered before
+ * the owner replies is told truly whether its request may have an effect: one that reached no owner
+ * never will. Thread-safe.
+ */
+final class ForwardedCall {
+  /** Time after which callers should retry while the owner cannot be reached, in milliseconds. */
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final JobCall call;
+  private final CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+  private boolean outcomeUnknown;
+  private boolean attempting;
+
+  /**
+   * Creates a forwarded call.
+   *
+   * @param call the caller's request
+   * @param outcomeUnknown whether an owner may have received it already
+   */
+  ForwardedCall(JobCall call, boolean outcomeUnknown) {
+    this.call = call;
+    this.outcomeUnknown = outcomeUnknown;
+  }
+
+  JobCall call() {
+    return call;
+  }
+
+  /** Returns the future of the answer, which never completes exceptionally. */
+  CompletableFuture<JobAnswer> answer() {
+    return answer;
+  }
+
+  /**
+   * Begins an attempt.
+   *
+   * @return false if the caller was answered, so that the request must not be sent any more
+   */
+  synchronized boolean beginAttempt() {
+    attempting = !answer.isDone();
+    return attempting;
+  }
+
+  /**
+   * Ends an attempt.
+   *
+   * @param mayHaveEffect whether the owner may have received the request without an answer
+   */
+  synchronized void endAttempt(boolean mayHaveEffect) {
+    attempting = false;
+    outcomeUnknown |= mayHaveEffect;
+  }
+
+  synchronized boolean isOutcomeUnknown() {
+    return outcomeUnknown;
+  }
+
+  /** Answers the caller, unless it was answered already. */
+  synchronized void complete(JobAnswer known) {
+    answer.complete(known);
+  }
+
+  /**
+   * Answers the caller with what is known then, unless it was answered already: no attempt begins
+   * afterwards. An attempt that is pending goes on, since closing its link would cost a busy owner
+   * a new connection for each late reply.
+   */
+  void answerAfter(long millis) {
+    CompletableFuture.delayedExecutor(Math.max(1, millis), TimeUnit.MILLISECONDS, Runnable::run)
+        .execute(() -> giveUp("the owner of the jobs gave no answer in time"));
+  }
+
+  /** Answers the caller with what is known, unless it was answered already. */
+  synchronized void giveUp(String why) {
+    answer.complete(
+        outcomeUnknown || attempting
+            ? new JobAnswer.Undecided(why)
+            : new JobAnswer.Rejected(why, RETRY_AFTER_MILLIS));
+  }
+}
