--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnershipManager.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnershipManager.java
@@ -108,7 +108,7 @@
       BooleanSupplier isFollowed)
       throws InterruptedException {
     TopicReader reader = new TopicReader(log, LogTopic.JOBS);
-    Map<String, byte[]> state = new HashMap<>();
+    Map<String, StoredRecord> state = new HashMap<>();
     for (int i = 0; i < MAX_CLAIM_ATTEMPTS && !closing; i++) {
       if (!readState(reader, state)) {
         return new ClaimResult.Failed();
@@ -172,7 +172,7 @@
         && following.end() <= reader.nextOffset();
   }
 
-  private static boolean readState(TopicReader reader, Map<String, byte[]> state)
+  private static boolean readState(TopicReader reader, Map<String, StoredRecord> state)
       throws InterruptedException {
     switch (reader.poll(0)) {
       case TopicReader.Poll.Snapshot snapshot -> {
@@ -194,43 +194,54 @@
    * Reads the records that were appended while the pages of a snapshot were read. Returns whether
    * this succeeded.
    */
-  private static boolean catchUp(TopicReader reader, Map<String, byte[]> state)
+  private static boolean catchUp(TopicReader reader, Map<String, StoredRecord> state)
       throws InterruptedException {
     return reader.poll(0) instanceof TopicReader.Poll.Changes changes
         && changes.records().stream().allMatch(record -> apply(state, record));
   }
 
-  private static boolean apply(Map<String, byte[]> state, KeyedRecord record) {
+  /**
+   * Applies a record. Records are decoded before the claim: leases run out and callers wait from
+   * the claim on, and a new owner decodes slowly.
+   */
+  private static boolean apply(Map<String, StoredRecord> state, KeyedRecord record) {
     record
         .value()
-        .ifPresentOrElse(value -> state.put(record.key(), value), () -> state.remove(record.key()));
+        .flatMap(value -> decode(record.key(), value))
+        .ifPresentOrElse(
+            decoded -> state.put(record.key(), decoded), () -> state.remove(record.key()));
     return true;
   }
 
-  private static OwnerView findOwner(Map<String, byte[]> state) {
-    byte[] owner = state.get(StoredChange.OWNER_KEY);
+  private static Optional<StoredRecord> decode(String key, byte[] value) {
     try {
-      return owner != null && StoredCodec.decode(owner).orElse(null) instanceof OwnerRecord record
-          ? new OwnerView(record.term(), record.entry(), record.peerAddress())
-          : OwnerView.NONE;
+      return StoredCodec.decode(value);
     } catch (MalformedMessageException e) {
-      throw new IllegalStateException("malformed owner record in the log", e);
+      if (key.equals(StoredChange.OWNER_KEY)) {
+        throw new IllegalStateException("malformed owner record in the log", e);
+      }
+      EventLog.warn(LogEvent.LOG_RECORD_MALFORMED, "topic", "jobs", "key", key);
+      return Optional.empty();
     }
   }
 
+  private static OwnerView findOwner(Map<String, StoredRecord> state) {
+    return state.get(StoredChange.OWNER_KEY) instanceof OwnerRecord record
+        ? new OwnerView(record.term(), record.entry(), record.peerAddress())
+        : OwnerView.NONE;
+  }
+
   private JobOwner startTerm(
       long term,
       boolean previousOwnerGone,
-      Map<String, byte[]> state,
+      Map<String, StoredRecord> state,
       long endOffset,
       BooleanSupplier isFollowed) {
     pendingClaim = Optional.empty();
     PoolTiming termTiming = previousOwnerGone ? timing.withoutPreviousOwner() : timing;
     JobScheduler scheduler = new JobScheduler(term, termTiming, retentionMillis, decisions);
     JobOwner owner = new JobOwner(term, scheduler, log, endOffset, orders, isFollowed);
-    List<StoredRecord> records =
-        state.entrySet().stream().flatMap(e -> decode(e.getKey(), e.getValue()).stream()).toList();
-    owner.load(records);
+    owner.load(List.copyOf(state.values()));
     EventLog.info(
         LogEvent.OWNER_CLAIMED,
         "term",
@@ -238,7 +249,7 @@
         "former-gone",
         previousOwnerGone,
         "records",
-        records.size(),
+        state.size(),
         "offset",
         endOffset);
     owner.start();
@@ -248,15 +259,6 @@
     return owner;
   }
 
-  private static Optional<StoredRecord> decode(String key, byte[] value) {
-    try {
-      return StoredCodec.decode(value);
-    } catch (MalformedMessageException e) {
-      EventLog.warn(LogEvent.LOG_RECORD_MALFORMED, "topic", "jobs", "key", key);
-      return Optional.empty();
-    }
-  }
-
   private static void readListings(JobOwner owner, TopicReader workerReader)
       throws InterruptedException {
     owner.post(new OwnerEvent.ListingsRead(workerReader.poll(0)));
