Write log lines without a map and an object mapper

Cause: an owner logs some 220 lines a second, each through a map and Jackson's object mapper on the owner's thread. Change: a line is appended to one builder, with Jackson's string encoder for JSON; labels are made once (EventLogTest).

--- a/wire/src/main/java/org/lavenderstage/wire/event/EventLog.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/EventLog.java
@@ -1,15 +1,13 @@
 package org.lavenderstage.wire.event;
 
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Locale;
-import java.util.Map;
-import org.lavenderstage.wire.codec.JsonCodec;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
 
 /** Logs numbered events with named values through tinylog, as key=value pairs or JSON. */
 public final class EventLog {
+  private static final int INITIAL_LINE_LENGTH = 256;
+
   private static volatile boolean json;
 
   private EventLog() {}
@@ -53,25 +51,30 @@
   }
 
   static String line(LogEvent event, Object... namesAndValues) {
-    Map<String, String> fields = new LinkedHashMap<>();
-    fields.put("event", event.label());
-    fields.put("name", event.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    StringBuilder line = new StringBuilder(INITIAL_LINE_LENGTH);
+    append(line, "event", event.label());
+    append(line, "name", event.displayName());
     for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
-      fields.put(String.valueOf(namesAndValues[i]), String.valueOf(namesAndValues[i + 1]));
+      append(line, String.valueOf(namesAndValues[i]), String.valueOf(namesAndValues[i + 1]));
+    }
+    return json ? line.append('}').toString() : line.toString();
+  }
+
+  private static void append(StringBuilder line, String name, String value) {
+    if (json) {
+      line.append(line.isEmpty() ? '{' : ',');
+      appendJson(line, name);
+      line.append(':');
+      appendJson(line, value);
+    } else {
+      line.append(line.isEmpty() ? "" : " ").append(name).append('=').append(quoted(value));
     }
-    return json ? new String(JsonCodec.encode(fields), StandardCharsets.UTF_8) : pairs(fields);
   }
 
-  private static String pairs(Map<String, String> fields) {
-    StringBuilder line = new StringBuilder();
-    fields.forEach(
-        (name, value) -> {
-          if (!line.isEmpty()) {
-            line.append(' ');
-          }
-          line.append(name).append('=').append(quoted(value));
-        });
-    return line.toString();
+  private static void appendJson(StringBuilder line, String text) {
+    line.append('"');
+    JsonStringEncoder.getInstance().quoteAsString(text, line);
+    line.append('"');
   }
 
   private static String quoted(String value) {
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -1,5 +1,7 @@
 package org.lavenderstage.wire.event;
 
+import java.util.Locale;
+
 /** The numbered log events; docs/EVENTS.md has a row for each. */
 public enum LogEvent {
   /** An entry serves its ports. */
@@ -149,10 +151,12 @@
   /** No unknown run of a previous owner can be active any longer. */
   INHERITANCE_SETTLED(7409);
 
-  private final int number;
+  private final String label;
+  private final String displayName;
 
   LogEvent(int number) {
-    this.number = number;
+    label = "LE-" + number;
+    displayName = name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
   /**
@@ -161,6 +165,15 @@
    * @return the label, such as {@code LE-1001}
    */
   public String label() {
-    return "LE-" + number;
+    return label;
+  }
+
+  /**
+   * Returns the name of the event in logs and documentation.
+   *
+   * @return the name, such as {@code entry-started}
+   */
+  public String displayName() {
+    return displayName;
   }
 }
