--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -27,10 +27,12 @@
   private static final long PREVIOUS_OWNER_RENEWAL_MILLIS = 2_500;
 
   /**
-   * Duration of the leases of runs, in milliseconds. It covers several changes of owners, yet is
-   * short enough that the tasks of an unresponsive worker soon run elsewhere.
+   * Duration of the leases of runs, in milliseconds, where the platform allows as much. It covers
+   * the loss of all entries until the next owner has asked the workers, and workers that are
+   * disconnected for some seconds, yet is short enough that the tasks of a worker that is gone soon
+   * run elsewhere.
    */
-  private static final long RUN_LEASE_MILLIS = 6_000;
+  private static final long RUN_LEASE_MILLIS = 8_000;
 
   /** Interval at which the warm-up checks whether this entry is a successor, in milliseconds. */
   private static final long WARMUP_CHECK_MILLIS = 200;
