--- a/http/src/main/java/org/lavenderstage/http/ServerConnection.java
+++ b/http/src/main/java/org/lavenderstage/http/ServerConnection.java
@@ -13,6 +13,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +29,9 @@
   /** Number of waiting requests from which on a connection is closed. */
   private static final int MAX_WAITING = 64;
 
+  private static final InternalLogger LOGGER =
+      InternalLoggerFactory.getInstance(ServerConnection.class);
+
   private final Http1Handler handler;
   private final AtomicInteger pendingRequests;
   private final Deque<Arrival> waiting = new ArrayDeque<>();
@@ -130,7 +136,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // the client broke the connection; it retries on another one
+    // An I/O error means that the client broke the connection; it retries on another one.
+    if (!(cause instanceof IOException)) {
+      LOGGER.warn("unexpected failure of a connection", cause);
+    }
     var unused = context.close();
   }
 }
