Send no call that waited in its own process for longer than a confirmed owner may order

Cause: the owner checks its permission before it hands an order to the network thread; a process that was paused between the two, or while a connection was opened, sent the order however old the check was then.

--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -109,7 +109,8 @@
 
   private static void callEntry(String address, EventLoopGroup eventLoops)
       throws InterruptedException {
-    try (Http1Client caller = new Http1Client(eventLoops, TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS)) {
+    try (Http1Client caller =
+        new Http1Client(eventLoops, TIMEOUT_MILLIS, TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS)) {
       for (Http1Request request :
           List.of(Http1Request.get("/"), Http1Request.post("/job", new byte[] {'{', '}'}))) {
         caller
--- a/http/src/main/java/org/lavenderstage/http/Http1Client.java
+++ b/http/src/main/java/org/lavenderstage/http/Http1Client.java
@@ -35,6 +35,7 @@
 
   private final EventLoop loop;
   private final Bootstrap bootstrap;
+  private final long sendTimeoutMillis;
   private final long idleTimeoutMillis;
 
   /** Idle connections by address, the most recently used first. Used only by the event loop. */
@@ -48,9 +49,16 @@
    *
    * @param loops event loops, of which the client uses one; not closed with the client
    * @param connectTimeoutMillis timeout for opening a connection
+   * @param sendTimeoutMillis time after which a request that was not written yet is not sent any
+   *     more, since what it was decided on may be outdated: the process may have been paused
    * @param idleTimeoutMillis time after which an idle connection is closed
    */
-  public Http1Client(EventLoopGroup loops, int connectTimeoutMillis, long idleTimeoutMillis) {
+  public Http1Client(
+      EventLoopGroup loops,
+      int connectTimeoutMillis,
+      long sendTimeoutMillis,
+      long idleTimeoutMillis) {
+    this.sendTimeoutMillis = sendTimeoutMillis;
     this.idleTimeoutMillis = idleTimeoutMillis;
     loop = loops.next();
     bootstrap =
@@ -83,7 +91,14 @@
    */
   public CompletableFuture<Http1Response> send(
       String address, Http1Request request, long timeoutMillis) {
-    Exchange exchange = new Exchange(address, request, timeoutMillis, new CompletableFuture<>());
+    Exchange exchange =
+        new Exchange(
+            address,
+            request,
+            timeoutMillis,
+            new CompletableFuture<>(),
+            System.nanoTime(),
+            System.currentTimeMillis());
     try {
       loop.execute(() -> start(exchange));
     } catch (RejectedExecutionException e) {
@@ -92,12 +107,26 @@
     return exchange.response();
   }
 
-  /** A call and its future response. */
+  /**
+   * A call, its future response, and the monotonic and the wall-clock time at which it was made.
+   */
   record Exchange(
       String address,
       Http1Request request,
       long timeoutMillis,
-      CompletableFuture<Http1Response> response) {
+      CompletableFuture<Http1Response> response,
+      long madeAtNanos,
+      long madeAtWallMillis) {
+    /**
+     * Returns how long ago the call was made, in milliseconds. The monotonic clock stands still
+     * while a VM is suspended, and the wall clock may jump, so the longer time counts.
+     */
+    long ageMillis() {
+      return Math.max(
+          TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - madeAtNanos),
+          System.currentTimeMillis() - madeAtWallMillis);
+    }
+
     void fail(String cause) {
       response.completeExceptionally(new IOException(cause));
     }
@@ -108,6 +137,9 @@
       exchange.fail("the client is closed");
       return;
     }
+    if (isOutdated(exchange)) {
+      return;
+    }
     Deque<ClientConnection> idle = idleConnections.get(exchange.address());
     ClientConnection connection = idle == null ? null : idle.pollFirst();
     if (connection != null) {
@@ -134,7 +166,21 @@
     }
     ClientConnection connection = new ClientConnection(this, exchange.address());
     result.channel().pipeline().addLast(connection);
-    connection.send(exchange);
+    if (isOutdated(exchange)) {
+      connection.close();
+    } else {
+      connection.send(exchange);
+    }
+  }
+
+  /** Returns whether a call waited too long in this process, which fails it. */
+  private boolean isOutdated(Exchange exchange) {
+    long ageMillis = exchange.ageMillis();
+    if (ageMillis > sendTimeoutMillis) {
+      exchange.fail("not sent, since it waited for " + ageMillis + " ms");
+      return true;
+    }
+    return false;
   }
 
   /** Keeps a connection for the next call to the same address. */
--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +34,7 @@
 
   private final EventLoopGroup loops = EventLoops.create("test");
   private final Http1Client client =
-      new Http1Client(loops, CONNECT_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
+      new Http1Client(loops, CONNECT_TIMEOUT_MILLIS, TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
   private final Http1Server server = new Http1Server(loops, MAX_BODY_BYTES, IDLE_TIMEOUT_MILLIS);
 
   @AfterEach
@@ -124,6 +125,34 @@
     assertArrayEquals("next".getBytes(UTF_8), next.get(10, TimeUnit.SECONDS).body());
   }
 
+  /** A process that had been paused for seconds acted on a permission that had run out. */
+  @Test
+  void aCallThatWaitedWhileTheProcessWasPausedIsNotSent() throws Exception {
+    List<String> paths = new CopyOnWriteArrayList<>();
+    String address =
+        listen(
+            request -> {
+              paths.add(request.path());
+              return reply(200, "ok");
+            });
+    try (Http1Client hasty =
+        new Http1Client(loops, CONNECT_TIMEOUT_MILLIS, 200, IDLE_TIMEOUT_MILLIS)) {
+      loops.execute(() -> pause(400));
+      CompletableFuture<Http1Response> late =
+          hasty.send(address, Http1Request.get("/late"), TIMEOUT_MILLIS);
+      assertThrows(ExecutionException.class, () -> late.get(10, TimeUnit.SECONDS));
+    }
+    assertEquals(200, send(address, Http1Request.get("/next")).status());
+    assertEquals(List.of("/next"), paths);
+  }
+
+  private static void pause(long millis) {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (System.nanoTime() < endNanos) {
+      LockSupport.parkNanos(endNanos - System.nanoTime());
+    }
+  }
+
   @Test
   void responsesThatAreCutOrMalformedFailTheCall() throws Exception {
     for (String bytes :
