Close a stopping entry's connections once their requests are answered

Cause: the stop went by the clock: 2.3 s of draining, 0.7 s for pending requests, then all connections were closed. A request that came late in the drain waits up to 1.35 s for an owner that is being replaced. Related: requests read behind the last answered one of a connection were dropped, calls to an owner in the same entry had no limit of their own, and a failure while the jobs were released ended the process.

Connections now close when the requests read from them are answered; the platform's grace bounds the wait, and what waits then is answered with what is known.

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -49,10 +51,13 @@
   /** Time reserved for sending the answer to the caller, in milliseconds. */
   private static final long ANSWER_MARGIN_MILLIS = 60;
 
+  private static final String STOPPING = "this entry stops";
+
   private final OwnerElection election;
   private final OwnershipManager ownership;
   private final PeerLinkPool links = new PeerLinkPool(REPLY_TIMEOUT_MILLIS);
   private final ExecutorService forwardExecutor;
+  private final Set<ForwardedCall> pending = ConcurrentHashMap.newKeySet();
   private volatile boolean stopping;
 
   CallRouter(OwnerElection election, OwnershipManager ownership) {
@@ -68,36 +73,53 @@
             task -> Thread.ofPlatform().daemon().name("forward").unstarted(task));
   }
 
-  /** Stops repeating requests; each pending one is answered with what is known about it. */
-  void stopRetrying() {
+  /** Answers the pending requests, and each later one, with what is known about it. */
+  void giveUpPending() {
     stopping = true;
+    pending.forEach(forwarded -> forwarded.giveUp(STOPPING));
   }
 
-  /** Handles a request. The future never completes exceptionally. */
+  /**
+   * Handles a request. The future completes by the time at which the caller is to be answered, and
+   * never exceptionally.
+   */
   CompletableFuture<JobAnswer> call(JobCall call) {
+    ForwardedCall forwarded = new ForwardedCall(call);
+    pending.add(forwarded);
+    CompletableFuture<Void> unused = forwarded.answer().thenRun(() -> pending.remove(forwarded));
     Optional<JobOwner> localOwner = ownership.current();
-    if (localOwner.isPresent()) {
-      return localOwner
-          .get()
-          .call(call)
-          .thenCompose(
-              answer ->
-                  answer instanceof JobAnswer.Undecided
-                      ? forward(call, true)
-                      : CompletableFuture.completedFuture(answer));
+    if (localOwner.isPresent() && forwarded.beginAttempt()) {
+      callLocally(localOwner.get(), forwarded);
+    } else {
+      forward(forwarded);
+    }
+    forwarded.answerAfter(call.answerByMillis() - Clocks.monotonicMillis());
+    if (stopping) {
+      forwarded.giveUp(STOPPING);
+    }
+    return forwarded.answer();
+  }
+
+  private void callLocally(JobOwner owner, ForwardedCall forwarded) {
+    CompletableFuture<Void> unused =
+        owner.call(forwarded.call()).thenAccept(answer -> handleLocalAnswer(forwarded, answer));
+  }
+
+  private void handleLocalAnswer(ForwardedCall forwarded, JobAnswer answer) {
+    if (answer instanceof JobAnswer.Undecided) {
+      forwarded.endAttempt(true);
+      forward(forwarded);
+    } else {
+      forwarded.complete(answer);
     }
-    return forward(call, false);
   }
 
-  private CompletableFuture<JobAnswer> forward(JobCall call, boolean outcomeUnknown) {
-    ForwardedCall forwarded = new ForwardedCall(call, outcomeUnknown);
+  private void forward(ForwardedCall forwarded) {
     try {
       forwardExecutor.execute(() -> retryUntilAnswered(forwarded));
     } catch (RejectedExecutionException e) {
       forwarded.giveUp("too many requests wait");
     }
-    forwarded.answerAfter(call.answerByMillis() - Clocks.monotonicMillis());
-    return forwarded.answer();
   }
 
   private void retryUntilAnswered(ForwardedCall forwarded) {
@@ -177,7 +199,7 @@
       return new JobAnswer.Undecided("the owner of the jobs gave no answer in time");
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return new JobAnswer.Undecided("this entry stops");
+      return new JobAnswer.Undecided(STOPPING);
     }
   }
 
--- a/entry/src/main/java/org/lavenderstage/entry/job/ForwardedCall.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ForwardedCall.java
@@ -5,8 +5,8 @@
 import org.lavenderstage.core.job.JobAnswer;
 
 /**
- * A caller's request that is forwarded to the owner of the jobs. A caller that is answered before
- * the owner replies is told truly whether its request may have an effect: one that reached no owner
+ * A caller's request on its way to the owner of the jobs. A caller that is answered before the
+ * owner replies is told truly whether its request may have an effect: one that reached no owner
  * never will. Thread-safe.
  */
 final class ForwardedCall {
@@ -18,15 +18,8 @@
   private boolean outcomeUnknown;
   private boolean attempting;
 
-  /**
-   * Creates a forwarded call.
-   *
-   * @param call the caller's request
-   * @param outcomeUnknown whether an owner may have received it already
-   */
-  ForwardedCall(JobCall call, boolean outcomeUnknown) {
+  ForwardedCall(JobCall call) {
     this.call = call;
-    this.outcomeUnknown = outcomeUnknown;
   }
 
   JobCall call() {
--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -194,7 +194,16 @@
         tookMillis);
   }
 
-  /** Stops listening, answers the pending requests, and closes the connections. */
+  /**
+   * Stops listening, and closes each connection once its requests are answered.
+   *
+   * @param timeoutMillis longest wait for the answers, in milliseconds
+   * @return whether all requests are answered
+   */
+  boolean shutDown(long timeoutMillis) {
+    return server.shutDown(timeoutMillis);
+  }
+
   @Override
   public void close() {
     server.close();
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -34,6 +34,9 @@
    */
   private static final long RUN_LEASE_MILLIS = 8_000;
 
+  /** Time reserved for sending answers that end the wait for an owner, in milliseconds. */
+  private static final long FINAL_ANSWER_MILLIS = 300;
+
   /** Interval at which the warm-up checks whether this entry is a successor, in milliseconds. */
   private static final long WARMUP_CHECK_MILLIS = 200;
 
@@ -195,13 +198,27 @@
     }
   }
 
+  /**
+   * Stops listening, and answers the requests of the open connections before they are closed.
+   * Requests that still wait at the end are answered with what is known about them.
+   *
+   * @param timeoutMillis longest wait for the answers, in milliseconds
+   */
+  public void answerPending(long timeoutMillis) {
+    if (!frontServer.shutDown(timeoutMillis - FINAL_ANSWER_MILLIS)) {
+      router.giveUpPending();
+      boolean answered = frontServer.shutDown(FINAL_ANSWER_MILLIS);
+      EventLog.info(LogEvent.PENDING_GIVEN_UP, "entry", entry, "answered", answered);
+    }
+  }
+
   @Override
   public void close() {
     drain();
     if (warmupThread != null) {
       warmupThread.interrupt();
     }
-    router.stopRetrying();
+    answerPending(FINAL_ANSWER_MILLIS);
     frontServer.close();
     election.close();
     router.close();
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntryCommand.java
@@ -15,13 +15,16 @@
   private static final int USAGE_ERROR = 2;
 
   /**
-   * Time between the termination signal and the last answer, in milliseconds. It covers two failed
-   * readiness checks, one second apart, and a request in transit.
+   * Time between the termination signal and the end of listening, in milliseconds. It covers two
+   * failed readiness checks, one second apart, and a request in transit.
    */
   private static final long DRAIN_MILLIS = 2_300;
 
-  /** Part of the time for stopping that is reserved for the last answers, in milliseconds. */
-  private static final long CLOSE_MILLIS = 1_500;
+  /** Time that the last requests have at least for their answers, in milliseconds. */
+  private static final long ANSWER_MILLIS = 1_500;
+
+  /** Part of the time for stopping in which the threads end after the last answer, in ms. */
+  private static final long CLOSE_MILLIS = 1_000;
 
   /** Interval at which the settings file is checked for changes, in milliseconds. */
   private static final long SETTINGS_POLL_MILLIS = 1_000;
@@ -49,11 +52,11 @@
       System.exit(USAGE_ERROR);
       return;
     }
-    long drainMillis = Math.min(DRAIN_MILLIS, settings.bounds().stopGraceMillis() - CLOSE_MILLIS);
+    long graceMillis = settings.bounds().stopGraceMillis();
     // The platform announces new settings by SIGHUP, which by default ends a Java process. The
     // signal is not needed, since the file is polled often enough.
     SighupHandler.ignore();
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(entry, drainMillis), "stop"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(entry, graceMillis), "stop"));
     entry.start();
     watchSettings(file, text, entry);
   }
@@ -75,15 +78,30 @@
     }
   }
 
-  private static void stop(JobEntry entry, long waitMillis) {
-    entry.drain();
+  /** Stops the entry within the time after which the platform kills it. */
+  private static void stop(JobEntry entry, long graceMillis) {
+    long startMillis = Clocks.monotonicMillis();
+    long answerUntilMillis = startMillis + graceMillis - CLOSE_MILLIS;
+    long listenUntilMillis =
+        Math.min(startMillis + DRAIN_MILLIS, answerUntilMillis - ANSWER_MILLIS);
+    attempt(entry::drain);
     try {
-      Thread.sleep(Math.max(0, waitMillis));
+      Thread.sleep(Math.max(0, listenUntilMillis - Clocks.monotonicMillis()));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    entry.close();
+    attempt(() -> entry.answerPending(answerUntilMillis - Clocks.monotonicMillis()));
+    attempt(entry::close);
     EventLog.flush();
     Runtime.getRuntime().halt(0);
   }
+
+  /** Executes a part of the stop. Its failure must not keep callers from being answered. */
+  private static void attempt(Runnable part) {
+    try {
+      part.run();
+    } catch (RuntimeException e) {
+      EventLog.warn(LogEvent.DUTY_FAILED, "duty", "stop", "cause", e);
+    }
+  }
 }
--- a/entry/src/test/java/org/lavenderstage/entry/job/CallRouterTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/CallRouterTest.java
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.lavenderstage.clients.KeyedLog;
 import org.lavenderstage.core.job.JobAnswer;
 import org.lavenderstage.core.job.JobVerb;
 
@@ -15,10 +17,50 @@
   private static final long SHORT_MILLIS = 50;
   private static final long LONG_MILLIS = 60_000;
 
-  private static ForwardedCall forwarded(boolean outcomeUnknown) {
-    JobCall call =
-        new JobCall("r", JobVerb.SUBMIT, "queue", "5c0e7a21d94b36f8", Optional.empty(), 0);
-    return new ForwardedCall(call, outcomeUnknown);
+  private static JobCall call(long answerByMillis) {
+    return new JobCall(
+        "r", JobVerb.SUBMIT, "queue", "5c0e7a21d94b36f8", Optional.empty(), answerByMillis);
+  }
+
+  private static ForwardedCall forwarded() {
+    return new ForwardedCall(call(0));
+  }
+
+  /** Creates a router of an entry that owns the jobs if it has claimed them. */
+  private static CallRouter router(KeyedLog log, OwnershipManager ownership) {
+    StoreMonitor store = new StoreMonitor(log, Clocks::monotonicMillis);
+    Members members = new Members(store, "a", "127.0.0.1:1", 1_000);
+    OwnerElection election =
+        new OwnerElection("a", "127.0.0.1:1", 1_000, members, store, ownership);
+    return new CallRouter(election, ownership);
+  }
+
+  /** Guards against channels that a stopping entry closed while their requests waited. */
+  @Test
+  void callerThatWaitsForStoreIsAnsweredWhenEntryStops() throws Exception {
+    InMemoryKeyedLog log = new InMemoryKeyedLog();
+    OwnershipManager ownership = TestOwnership.managerOf(log);
+    ownership.claim("a", "127.0.0.1:1", 0, incarnation -> false, () -> true);
+    log.delayAppendAnswers = true;
+    try (CallRouter router = router(log, ownership)) {
+      JobCall submission = JobOwnerTest.submission(LONG_MILLIS);
+      CompletableFuture<JobAnswer> answer = router.call(submission);
+      router.giveUpPending();
+      assertInstanceOf(JobAnswer.Undecided.class, answer.get(SHORT_MILLIS, TimeUnit.MILLISECONDS));
+    } finally {
+      ownership.end();
+    }
+  }
+
+  @Test
+  void callerThatComesAfterEntryGaveUpIsRejectedAtOnce() throws Exception {
+    InMemoryKeyedLog log = new InMemoryKeyedLog();
+    try (CallRouter router = router(log, TestOwnership.managerOf(log))) {
+      router.giveUpPending();
+      JobCall late = call(Clocks.monotonicMillis() + LONG_MILLIS);
+      JobAnswer answer = router.call(late).get(SHORT_MILLIS, TimeUnit.MILLISECONDS);
+      assertInstanceOf(JobAnswer.Rejected.class, answer);
+    }
   }
 
   private static JobAnswer answerOf(ForwardedCall forwarded) throws Exception {
@@ -27,7 +69,7 @@
 
   @Test
   void callerIsAnsweredInTimeWhenOwnerDoesNotReply() throws Exception {
-    ForwardedCall forwarded = forwarded(false);
+    ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
     forwarded.answerAfter(SHORT_MILLIS);
     assertInstanceOf(JobAnswer.Undecided.class, answerOf(forwarded));
@@ -37,7 +79,7 @@
   @Test
   void callerWhoseRequestWaitedInThisEntryAloneIsRejectedAndItsRequestIsNeverSent()
       throws Exception {
-    ForwardedCall forwarded = forwarded(false);
+    ForwardedCall forwarded = forwarded();
     forwarded.answerAfter(SHORT_MILLIS);
     JobAnswer.Rejected rejected = assertInstanceOf(JobAnswer.Rejected.class, answerOf(forwarded));
     assertTrue(rejected.retryAfterMillis() > 0);
@@ -46,7 +88,7 @@
 
   @Test
   void callerWhoseRequestReachedNoOwnerIsRejected() throws Exception {
-    ForwardedCall forwarded = forwarded(false);
+    ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
     forwarded.endAttempt(false);
     forwarded.answerAfter(SHORT_MILLIS);
@@ -55,7 +97,7 @@
 
   @Test
   void outcomeStaysUnknownAfterLaterAttemptThatReachedNoOwner() throws Exception {
-    ForwardedCall forwarded = forwarded(false);
+    ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
     forwarded.endAttempt(true);
     assertTrue(forwarded.beginAttempt());
@@ -65,15 +107,17 @@
   }
 
   @Test
-  void outcomeThatWasUnknownBeforeForwardingStaysUnknown() throws Exception {
-    ForwardedCall forwarded = forwarded(true);
+  void outcomeThatWasUnknownAfterFirstAttemptStaysUnknown() throws Exception {
+    ForwardedCall forwarded = forwarded();
+    assertTrue(forwarded.beginAttempt());
+    forwarded.endAttempt(true);
     forwarded.giveUp("no owner");
     assertInstanceOf(JobAnswer.Undecided.class, answerOf(forwarded));
   }
 
   @Test
   void callerReceivesAnswerThatArrivesInTime() throws Exception {
-    ForwardedCall forwarded = forwarded(false);
+    ForwardedCall forwarded = forwarded();
     forwarded.answerAfter(LONG_MILLIS);
     assertTrue(forwarded.beginAttempt());
     forwarded.complete(new JobAnswer.Accepted());
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -83,7 +83,7 @@
     return submission(TIMEOUT_MILLIS);
   }
 
-  private static JobCall submission(long answerWithinMillis) {
+  static JobCall submission(long answerWithinMillis) {
     StepSpec step =
         new StepSpec(
             1, 1_000, 100, 0, 5_000, List.of(), false, false, false, "", "", 0, false, false, "", 0,
--- a/http/src/main/java/org/lavenderstage/http/Http1Server.java
+++ b/http/src/main/java/org/lavenderstage/http/Http1Server.java
@@ -18,27 +18,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 /** HTTP/1.1 server. Answers the requests of each connection one after the other, in order. */
 public final class Http1Server implements AutoCloseable {
   private static final int BACKLOG = 1_024;
 
-  /** Time without pending requests after which a graceful shutdown ends, in milliseconds. */
-  private static final long SHUTDOWN_QUIET_MILLIS = 50;
+  /** Longest wait of {@link #close} for pending requests, in milliseconds. */
+  private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
-  /** Time after which a graceful shutdown ends in any case, in milliseconds. */
-  private static final long SHUTDOWN_TIMEOUT_MILLIS = 700;
-
-  private static final long SHUTDOWN_POLL_MILLIS = 5;
+  private static final long SHUTDOWN_POLL_MILLIS = 10;
 
   private final EventLoopGroup loops;
   private final int maxBodyBytes;
   private final long idleTimeoutMillis;
   private final List<Channel> listeners = new ArrayList<>();
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-  private final AtomicInteger pendingRequests = new AtomicInteger();
 
   /**
    * Creates a server that does not listen yet.
@@ -93,26 +88,37 @@
         .addLast(new IdleStateHandler(0, 0, idleTimeoutMillis, TimeUnit.MILLISECONDS))
         .addLast(new HttpServerCodec())
         .addLast(new HttpObjectAggregator(maxBodyBytes, true))
-        .addLast(new ServerConnection(handler, pendingRequests));
+        .addLast(new ServerConnection(handler));
   }
 
-  /** Stops listening, waits a short time for pending requests, and closes the connections. */
-  @Override
-  public void close() {
+  /**
+   * Stops listening, and closes each connection once the requests read from it are answered.
+   *
+   * @param timeoutMillis longest wait for the answers, in milliseconds; connections with pending
+   *     requests stay open after it
+   * @return whether all connections are closed
+   */
+  public boolean shutDown(long timeoutMillis) {
     listeners.forEach(listener -> listener.close().awaitUninterruptibly());
     long startNanos = System.nanoTime();
-    long quietSinceNanos = startNanos;
-    while (millisSince(quietSinceNanos) < SHUTDOWN_QUIET_MILLIS
-        && millisSince(startNanos) < SHUTDOWN_TIMEOUT_MILLIS) {
-      if (pendingRequests.get() > 0) {
-        quietSinceNanos = System.nanoTime();
+    while (true) {
+      // A connection may have been accepted just before the listeners were closed.
+      connections.forEach(
+          channel -> channel.pipeline().fireUserEventTriggered(ServerConnection.SHUTDOWN));
+      if (connections.isEmpty()) {
+        return true;
+      }
+      if (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) >= timeoutMillis) {
+        return false;
       }
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SHUTDOWN_POLL_MILLIS));
     }
-    connections.close().awaitUninterruptibly();
   }
 
-  private static long millisSince(long nanos) {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+  /** Shuts down, and closes the connections whose requests are not answered within some seconds. */
+  @Override
+  public void close() {
+    shutDown(CLOSE_TIMEOUT_MILLIS);
+    connections.close().awaitUninterruptibly();
   }
 }
--- a/http/src/main/java/org/lavenderstage/http/ServerConnection.java
+++ b/http/src/main/java/org/lavenderstage/http/ServerConnection.java
@@ -19,13 +19,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A connection to a server. Requests that arrive before the previous one is answered wait, so that
  * the responses are in order. Used only by the event loop, but for the completion of responses.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+  /** Event that closes a connection once the requests read from it are answered. */
+  static final Object SHUTDOWN = new Object();
+
   /** Number of waiting requests from which on a connection is closed. */
   private static final int MAX_WAITING = 64;
 
@@ -33,16 +35,16 @@
       InternalLoggerFactory.getInstance(ServerConnection.class);
 
   private final Http1Handler handler;
-  private final AtomicInteger pendingRequests;
   private final Deque<Arrival> waiting = new ArrayDeque<>();
   private boolean busy;
+  private volatile boolean shuttingDown;
+  private boolean lastAnswered;
 
   /** A request and whether its client keeps the connection open. */
   private record Arrival(Http1Request request, boolean keptAlive) {}
 
-  ServerConnection(Http1Handler handler, AtomicInteger pendingRequests) {
+  ServerConnection(Http1Handler handler) {
     this.handler = handler;
-    this.pendingRequests = pendingRequests;
   }
 
   @Override
@@ -69,7 +71,6 @@
 
   private void handle(ChannelHandlerContext context, Arrival arrival) {
     busy = true;
-    pendingRequests.incrementAndGet();
     CompletableFuture<Http1Handler.Reply> reply;
     try {
       reply = handler.handle(arrival.request());
@@ -81,7 +82,9 @@
             .exceptionally(failure -> failureReply())
             .thenAccept(
                 completed -> {
-                  if (context.executor().inEventLoop()) {
+                  // The last answer of a connection is given once all requests read are known.
+                  boolean last = completed.last() || shuttingDown;
+                  if (context.executor().inEventLoop() && !last) {
                     answer(context, arrival, completed);
                   } else {
                     context.executor().execute(() -> answer(context, arrival, completed));
@@ -96,11 +99,13 @@
 
   private void answer(
       ChannelHandlerContext context, Arrival arrival, Http1Handler.Reply completed) {
-    pendingRequests.decrementAndGet();
     busy = false;
-    boolean keptAlive = arrival.keptAlive() && !completed.last();
-    respond(context, completed.response(), keptAlive);
-    Arrival next = keptAlive ? waiting.pollFirst() : null;
+    // Requests that were read are answered before the connection closes, unless the client has
+    // announced that it sends no more.
+    Arrival next = arrival.keptAlive() ? waiting.pollFirst() : null;
+    boolean last = completed.last() || shuttingDown;
+    lastAnswered = !arrival.keptAlive() || (next == null && last);
+    respond(context, completed.response(), !lastAnswered);
     if (next != null) {
       handle(context, next);
     }
@@ -129,7 +134,10 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof IdleStateEvent && !busy) {
+    shuttingDown |= event == SHUTDOWN;
+    // After the last answer the connection closes by itself once the answer is written.
+    boolean closable = event instanceof IdleStateEvent || (shuttingDown && !lastAnswered);
+    if (closable && !busy) {
       var unused = context.close();
     }
   }
--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -262,6 +262,62 @@
     assertEquals(200, response.get(10, TimeUnit.SECONDS).status());
   }
 
+  /** Guards against a stop that cut off requests which waited for another process. */
+  @Test
+  void closingTheServerAnswersRequestThatWaitsForOverASecond() throws Exception {
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    String address =
+        listen(
+            request -> {
+              arrived.complete(null);
+              return new CompletableFuture<Http1Handler.Reply>()
+                  .completeOnTimeout(
+                      new Http1Handler.Reply(Http1Response.of(504), true),
+                      1_350,
+                      TimeUnit.MILLISECONDS);
+            });
+    CompletableFuture<Http1Response> response =
+        client.send(address, Http1Request.get("/"), TIMEOUT_MILLIS);
+    arrived.get(10, TimeUnit.SECONDS);
+    server.close();
+    assertEquals(504, response.get(10, TimeUnit.SECONDS).status());
+  }
+
+  /** Guards against a stop that dropped requests read behind the one whose answer closes. */
+  @Test
+  void pipelinedRequestsAreAllAnsweredBeforeTheConnectionOfAStoppingServerCloses()
+      throws Exception {
+    List<CompletableFuture<Http1Handler.Reply>> replies = new CopyOnWriteArrayList<>();
+    String address =
+        listen(
+            request -> {
+              CompletableFuture<Http1Handler.Reply> reply = new CompletableFuture<>();
+              replies.add(reply);
+              return reply.thenApply(
+                  r ->
+                      new Http1Handler.Reply(
+                          Http1Response.of(200, Http1Response.PLAIN_TEXT, request.path()), true));
+            });
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    try (Socket socket = new Socket(InetAddress.getByName(LOOPBACK), port)) {
+      socket
+          .getOutputStream()
+          .write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n".getBytes(UTF_8));
+      while (replies.isEmpty()) {
+        Thread.sleep(1);
+      }
+      replies.get(0).complete(reply(200, "").get());
+      long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+      while (replies.size() < 2 && System.nanoTime() < deadlineNanos) {
+        Thread.sleep(1);
+      }
+      assertEquals(2, replies.size());
+      replies.get(1).complete(reply(200, "").get());
+      String answers = new String(socket.getInputStream().readAllBytes(), UTF_8);
+      assertTrue(answers.contains("/1") && answers.contains("/2"), answers);
+    }
+  }
+
   /** Answers each request with the same bytes. */
   private static final class ScriptedServer implements AutoCloseable {
     private final ServerSocket socket = new ServerSocket(0, 10, InetAddress.getByName(LOOPBACK));
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -14,6 +14,8 @@
   ENTRY_READY(1004),
   /** A setting is invalid. */
   SETTING_REFUSED(1005),
+  /** A stopping entry answered requests with what was known, since its time was over. */
+  PENDING_GIVEN_UP(1006),
   /** An operator asked for a drain. */
   DRAIN_REQUESTED(1100),
   /** A read of the log failed. */
