Bound the occurrences of a scheduled job that are open at once

Cause: all due occurrences were created at once, and the list of open steps was copied for each, on the owner's thread. A job now has a bounded number of open steps and tasks; later occurrences are created as earlier ones end. The set of done ones is kept as ranges.

--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -2,23 +2,29 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 /**
  * A submitted job with its progress, in memory and as far as it is stored. An occurrence is created
- * when it falls due and removed when it is done.
+ * when it falls due and removed when it is done. Where more are due than tasks can run, the later
+ * ones are created as earlier ones end, so that a job takes no more memory or time for them.
  */
 public final class Job {
+  /** Maximum number of steps in open occurrences, unless a single occurrence has more. */
+  private static final int MAX_OPEN_STEPS = 1_000;
+
+  /** Maximum number of tasks in open occurrences, unless a single occurrence has more. */
+  private static final int MAX_OPEN_TASKS = 10_000;
+
   private final JobRecord record;
   private final JobEstimate estimate;
-  private final Map<Integer, List<JobStep>> openOccurrences = new HashMap<>();
-  private final List<StepProgress> doneOccurrences = new ArrayList<>();
-  private final Set<Integer> doneOccurrenceNumbers = new HashSet<>();
+  private final Map<Integer, List<JobStep>> openOccurrences = new TreeMap<>();
+  private final int maxOpenOccurrences;
+  private final OccurrenceSet doneOccurrences = new OccurrenceSet();
   private List<JobStep> openSteps = List.of();
   private int nextDueOccurrence;
   private JobPhase phase = JobPhase.ACTIVE;
@@ -38,12 +44,19 @@
   public Job(JobRecord record, long monotonicMillis) {
     this.record = record;
     this.estimate = JobEstimate.of(record);
+    this.maxOpenOccurrences = maxOpenOccurrences(record.steps());
     this.receivedAtMillis = monotonicMillis;
     if (record.repeatCount() == 0) {
       openOccurrence(0);
     }
   }
 
+  private static int maxOpenOccurrences(List<StepSpec> steps) {
+    long tasks = steps.stream().mapToLong(StepSpec::count).sum();
+    return Math.toIntExact(
+        Math.max(1, Math.min(MAX_OPEN_STEPS / steps.size(), MAX_OPEN_TASKS / tasks)));
+  }
+
   /**
    * Returns the identifier of the job.
    *
@@ -175,34 +188,34 @@
   }
 
   /**
-   * Opens the occurrences that are due.
+   * Opens the occurrences that are due, up to the maximum number of open ones.
    *
    * @param wallMillis wall-clock time in milliseconds since 1970
    */
   public void openDueOccurrences(long wallMillis) {
-    while (nextDueOccurrence < record.repeatCount()
+    int openBefore = openOccurrences.size();
+    nextDueOccurrence = doneOccurrences.nextMissing(nextDueOccurrence);
+    while (openOccurrences.size() < maxOpenOccurrences
+        && nextDueOccurrence < record.repeatCount()
         && dueAtMillis(nextDueOccurrence) <= wallMillis) {
-      int occurrence = nextDueOccurrence++;
-      if (!openOccurrences.containsKey(occurrence) && !isOccurrenceDone(occurrence)) {
-        openOccurrence(occurrence);
-      }
+      openOccurrences.computeIfAbsent(nextDueOccurrence, this::createSteps);
+      nextDueOccurrence = doneOccurrences.nextMissing(nextDueOccurrence + 1);
+    }
+    if (openOccurrences.size() > openBefore) {
+      updateOpenSteps();
     }
   }
 
   private long dueAtMillis(int occurrence) {
-    return record.startAtMillis() + occurrence * record.intervalMillis();
-  }
-
-  private boolean isOccurrenceDone(int occurrence) {
-    return doneOccurrenceNumbers.contains(occurrence);
+    long startMillis = record.startAtMillis();
+    long latestInterval = (Long.MAX_VALUE - startMillis) / Math.max(1, occurrence);
+    return record.intervalMillis() > latestInterval
+        ? Long.MAX_VALUE
+        : startMillis + occurrence * record.intervalMillis();
   }
 
   private void openOccurrence(int occurrence) {
-    List<JobStep> steps = newSteps(occurrence);
-    if (inherited) {
-      steps.forEach(step -> step.tasks().forEach(Task::setInherited));
-    }
-    openOccurrences.put(occurrence, steps);
+    openOccurrences.put(occurrence, createSteps(occurrence));
     updateOpenSteps();
   }
 
@@ -212,11 +225,6 @@
     openSteps = Collections.unmodifiableList(steps);
   }
 
-  private void recordOccurrenceDone(StepProgress progress) {
-    doneOccurrences.add(progress);
-    doneOccurrenceNumbers.add(progress.occurrence());
-  }
-
   /**
    * Returns the steps of all open occurrences, those of an occurrence next to each other.
    *
@@ -273,8 +281,7 @@
       return;
     }
     if (record.repeatCount() > 0) {
-      recordOccurrenceDone(
-          new StepProgress(step.occurrence(), -1, new byte[0], List.of(), List.of(), new byte[0]));
+      doneOccurrences.add(step.occurrence());
       openOccurrences.remove(step.occurrence());
       updateOpenSteps();
     }
@@ -304,7 +311,13 @@
    * @return the record of the progress
    */
   public ProgressRecord progress() {
-    List<StepProgress> steps = new ArrayList<>(doneOccurrences);
+    List<StepProgress> steps = new ArrayList<>();
+    List<Integer> done = doneOccurrences.bounds();
+    for (int i = 0; i < done.size(); i += 2) {
+      IntStream.rangeClosed(done.get(i), done.get(i + 1))
+          .mapToObj(Job::occurrenceDone)
+          .forEach(steps::add);
+    }
     if (phase == JobPhase.ACTIVE) {
       openOccurrences.values().stream()
           .flatMap(List::stream)
@@ -315,6 +328,10 @@
     return new ProgressRecord(id(), phase, endedAtMillis, steps);
   }
 
+  private static StepProgress occurrenceDone(int occurrence) {
+    return new StepProgress(occurrence, -1, new byte[0], List.of(), List.of(), new byte[0]);
+  }
+
   /**
    * Restores the stored progress.
    *
@@ -324,13 +341,17 @@
   public void restore(ProgressRecord progress, long wallMillis) {
     phase = progress.phase();
     endedAtMillis = progress.endedAtMillis();
-    progress.steps().stream().filter(p -> p.step() < 0).forEach(this::recordOccurrenceDone);
+    for (StepProgress step : progress.steps()) {
+      if (step.step() < 0) {
+        doneOccurrences.add(step.occurrence());
+      }
+    }
     openDueOccurrences(wallMillis);
     for (StepProgress step : progress.steps()) {
       if (step.step() >= 0) {
         begun = true;
         openOccurrences
-            .computeIfAbsent(step.occurrence(), this::newSteps)
+            .computeIfAbsent(step.occurrence(), this::createSteps)
             .get(step.step())
             .restore(step);
       }
@@ -338,11 +359,14 @@
     updateOpenSteps();
   }
 
-  private List<JobStep> newSteps(int occurrence) {
+  private List<JobStep> createSteps(int occurrence) {
     List<JobStep> steps = new ArrayList<>(record.steps().size());
     for (int i = 0; i < record.steps().size(); i++) {
       steps.add(new JobStep(this, occurrence, i, record.steps().get(i)));
     }
+    if (inherited) {
+      steps.forEach(step -> step.tasks().forEach(Task::setInherited));
+    }
     return steps;
   }
 
@@ -355,7 +379,8 @@
    */
   public Optional<Task> findReportedTask(TaskId id) {
     int occurrence = id.occurrence();
-    boolean notOpened = !openOccurrences.containsKey(occurrence) && !isOccurrenceDone(occurrence);
+    boolean notOpened =
+        !openOccurrences.containsKey(occurrence) && !doneOccurrences.contains(occurrence);
     if (notOpened && occurrence >= 0 && occurrence < record.repeatCount()) {
       openOccurrence(occurrence);
     }
