Store the done occurrences of a scheduled job as ranges

The record now holds ranges, whose number is bounded by the open occurrences; up to 256 are listed one by one as well for entries of earlier versions. ScheduledBacklogTest.recordOfProgressDoesNotGrowWithTheNumberOfDoneOccurrences guards it.

--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -20,11 +20,17 @@
   /** Maximum number of tasks in open occurrences, unless a single occurrence has more. */
   private static final int MAX_OPEN_TASKS = 10_000;
 
+  /**
+   * Maximum number of occurrences that the progress lists one by one for entries of earlier
+   * versions, which do not read ranges.
+   */
+  private static final int MAX_SINGLY_LISTED_OCCURRENCES = 256;
+
   private final JobRecord record;
   private final JobEstimate estimate;
   private final Map<Integer, List<JobStep>> openOccurrences = new TreeMap<>();
   private final int maxOpenOccurrences;
-  private final OccurrenceSet doneOccurrences = new OccurrenceSet();
+  private OccurrenceSet doneOccurrences = new OccurrenceSet();
   private List<JobStep> openSteps = List.of();
   private int nextDueOccurrence;
   private JobPhase phase = JobPhase.ACTIVE;
@@ -313,10 +319,12 @@
   public ProgressRecord progress() {
     List<StepProgress> steps = new ArrayList<>();
     List<Integer> done = doneOccurrences.bounds();
-    for (int i = 0; i < done.size(); i += 2) {
-      IntStream.rangeClosed(done.get(i), done.get(i + 1))
-          .mapToObj(Job::occurrenceDone)
-          .forEach(steps::add);
+    if (doneOccurrences.size() <= MAX_SINGLY_LISTED_OCCURRENCES) {
+      for (int i = 0; i < done.size(); i += 2) {
+        IntStream.rangeClosed(done.get(i), done.get(i + 1))
+            .mapToObj(Job::occurrenceDone)
+            .forEach(steps::add);
+      }
     }
     if (phase == JobPhase.ACTIVE) {
       openOccurrences.values().stream()
@@ -325,7 +333,7 @@
           .map(JobStep::progress)
           .forEach(steps::add);
     }
-    return new ProgressRecord(id(), phase, endedAtMillis, steps);
+    return new ProgressRecord(id(), phase, endedAtMillis, steps, done);
   }
 
   private static StepProgress occurrenceDone(int occurrence) {
@@ -341,6 +349,9 @@
   public void restore(ProgressRecord progress, long wallMillis) {
     phase = progress.phase();
     endedAtMillis = progress.endedAtMillis();
+    if (progress.doneOccurrences() != null) {
+      doneOccurrences = OccurrenceSet.of(progress.doneOccurrences());
+    }
     for (StepProgress step : progress.steps()) {
       if (step.step() < 0) {
         doneOccurrences.add(step.occurrence());
--- a/core/src/test/java/org/lavenderstage/core/pool/ScheduledBacklogTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/ScheduledBacklogTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.ProgressRecord;
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.TaskId;
 
@@ -23,6 +24,9 @@
   /** Far more than the steps below take, and far less than a quadratic cost. */
   private static final Duration TIME_LIMIT = Duration.ofSeconds(20);
 
+  /** Longest record of the platform's store in bytes, at least some 30 for each listed step. */
+  private static final int MAX_LISTED_STEPS = 262_144 / 64;
+
   private final PoolSimulation simulation = new PoolSimulation(SEED, 4);
 
   private Job submitBacklog(StepSpec step, int occurrences) {
@@ -61,7 +65,7 @@
           simulation.run(2_000);
           simulation.replaceOwner();
           simulation.run(12_000);
-          assertTrue(simulation.submitted.get(job.id()).hasBegun());
+          assertTrue(simulation.submitted.get(job.id()).progress().doneOccurrences().size() > 0);
         });
     assertEquals(List.of(), simulation.oracle.violations);
   }
@@ -80,4 +84,20 @@
   private boolean isCompleted(Job job) {
     return simulation.submitted.get(job.id()).phase() == JobPhase.COMPLETED;
   }
+
+  /** Guards against a record that grew by each occurrence until the store refused it. */
+  @Test
+  void recordOfProgressDoesNotGrowWithTheNumberOfDoneOccurrences() {
+    simulation.run(1_000);
+    Job job = submitBacklog(StepBuilder.step(1, 100, 10), 20_000);
+    int mostSteps = 0;
+    for (int i = 0; i < 100 && !isCompleted(job); i++) {
+      simulation.run(500);
+      ProgressRecord progress = simulation.submitted.get(job.id()).progress();
+      mostSteps = Math.max(mostSteps, progress.steps().size() + progress.doneOccurrences().size());
+    }
+    assertTrue(
+        simulation.submitted.get(job.id()).progress().doneOccurrences().get(1) > MAX_LISTED_STEPS);
+    assertTrue(mostSteps < MAX_LISTED_STEPS, "listed " + mostSteps);
+  }
 }
