Replace an owner whose thread stands still

The election checked only that an owner exists. It now ends a term whose thread has been in one step for 3 s and ten checks, so that another entry claims the jobs, and claims them itself after 10 s at the earliest. Orders that were decided 2 s before are not sent. OwnerElectionTest.ownerWhoseThreadStandsStillIsReplaced: the second entry did not take over within the test's 10 s before.

--- a/entry/src/main/java/org/lavenderstage/entry/duty/BackgroundThread.java
+++ b/entry/src/main/java/org/lavenderstage/entry/duty/BackgroundThread.java
@@ -54,6 +54,15 @@
     }
   }
 
+  /**
+   * Returns whether the thread has ended.
+   *
+   * @return false as long as a step continues, also after the time that closing waits for it
+   */
+  public boolean hasEnded() {
+    return !thread.isAlive();
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -78,6 +78,7 @@
   private volatile boolean parked;
   private volatile boolean used;
   private volatile long lastStoredRenewalStop;
+  private volatile long stepCount;
   private long lastStepMillis;
   private long lastWallOffsetMillis;
   private long confirmationNeededSinceMillis;
@@ -166,8 +167,15 @@
     return queued.answer();
   }
 
+  /** Returns the number of steps that the owner's thread has begun. */
+  long stepCount() {
+    return stepCount;
+  }
+
+  @SuppressWarnings("NonAtomicVolatileUpdate") // only the owner's thread writes it
   private void step() {
     ownerThread = Thread.currentThread();
+    stepCount++;
     load.beginRound(calls.size() + events.size());
     int handled = calls.drain(MAX_QUEUED_CALLS, this::handleCall);
     handled += events.drain(EVENTS_PER_STEP, this::handle);
@@ -191,7 +199,7 @@
     if (maySendOrders) {
       List<Order> due = scheduler.step(nowMillis, Clocks.wallMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, due.size());
-      due.forEach(this::send);
+      due.forEach(order -> send(order, nowMillis));
       load.endPart(OwnerLoad.Part.SENDING, due.size());
     }
     expireWaitingCallers(nowMillis);
@@ -214,19 +222,25 @@
       List<Order> starts = scheduler.placeTasks(nowMillis, Clocks.wallMillis());
       scheduler.recordPlacementEnd(Clocks.monotonicMillis());
       load.endPart(OwnerLoad.Part.SCHEDULING, starts.size());
-      starts.forEach(this::send);
+      starts.forEach(order -> send(order, nowMillis));
       load.endPart(OwnerLoad.Part.SENDING, starts.size());
     }
   }
 
   /**
    * Sends an order. As long as the owner accepts events, an event with the result always follows;
-   * without it, no further order would be sent to the worker.
+   * without it, no further order would be sent to the worker. An order that was decided too long
+   * ago is not sent, since the ownership may have been lost while the thread stood still.
    */
-  private void send(Order order) {
+  private void send(Order order, long decidedMillis) {
     CompletableFuture<OrderResult> result;
     try {
-      result = load.timeAnswer(order, orders.send(order, term));
+      boolean outdated =
+          Clocks.monotonicMillis() - decidedMillis >= CONFIRMATION_VALID_MILLIS || closed;
+      result =
+          outdated
+              ? CompletableFuture.completedFuture(new OrderResult.Unanswered("not sent in time"))
+              : load.timeAnswer(order, orders.send(order, term));
     } catch (RuntimeException e) {
       result = CompletableFuture.failedFuture(e);
     }
@@ -451,6 +465,11 @@
     closed = true;
     if (stepThread != null) {
       stepThread.close();
+      if (!stepThread.hasEnded()) {
+        // The state belongs to the thread until then; callers are answered by their own limits.
+        deposed = true;
+        return;
+      }
     }
     endTerm();
     calls.drain(MAX_QUEUED_CALLS, this::handleCall);
--- a/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/OwnerElection.java
@@ -52,6 +52,12 @@
   /** How long a query shows that its sender still follows this owner, in milliseconds. */
   private static final long FOLLOWER_TIMEOUT_MILLIS = 1_000;
 
+  /**
+   * Time for which an entry whose owner's thread stood still leaves the jobs to other entries, in
+   * milliseconds.
+   */
+  private static final long STALLED_CLAIM_PAUSE_MILLIS = 10_000;
+
   private final String entry;
   private final String peerAddress;
   private final ClaimOrder claimOrder;
@@ -66,6 +72,8 @@
   private volatile long ownerChangedMillis;
   private volatile boolean released;
   private volatile long suspectedUntilMillis;
+  private final StallDetector stallDetector = new StallDetector(Clocks::monotonicMillis);
+  private volatile long claimNotBeforeMillis = Long.MIN_VALUE;
   private final Semaphore wakeUps = new Semaphore(0);
   private long candidateSinceMillis;
   private BackgroundThread thread;
@@ -112,11 +120,7 @@
     if (localOwner.isPresent()) {
       candidateSinceMillis = 0;
       ownership.recordRenewalStops(localOwner.get().lastStoredRenewalStop());
-      if (localOwner.get().isDeposed()) {
-        ownership.end();
-        members.announce(0);
-        ownerLastHeardMillis = Clocks.monotonicMillis();
-      }
+      checkLocalOwner(localOwner.get());
     } else {
       checkOwner();
     }
@@ -125,6 +129,21 @@
     }
   }
 
+  /** Ends the term of the owner in this entry if it is deposed, or if its thread stands still. */
+  private void checkLocalOwner(JobOwner localOwner) {
+    boolean stalled = stallDetector.isStalled(localOwner.term(), localOwner.stepCount());
+    if (stalled) {
+      EventLog.warn(
+          LogEvent.OWNER_STALLED, "term", localOwner.term(), "step", localOwner.stepCount());
+      claimNotBeforeMillis = Clocks.monotonicMillis() + STALLED_CLAIM_PAUSE_MILLIS;
+    }
+    if (stalled || localOwner.isDeposed()) {
+      ownership.end();
+      members.announce(0);
+      ownerLastHeardMillis = Clocks.monotonicMillis();
+    }
+  }
+
   private long intervalMillis() {
     boolean ownerFollowed =
         candidateSinceMillis == 0
@@ -146,7 +165,9 @@
         !owner.entry().isEmpty() && !owner.entry().equals(entry) && isOwnerHealthy();
     if (ownerHealthy) {
       candidateSinceMillis = 0;
-    } else if (!released && members.isInitialized()) {
+    } else if (!released
+        && members.isInitialized()
+        && Clocks.monotonicMillis() >= claimNotBeforeMillis) {
       standForElection();
     }
   }
@@ -330,7 +351,7 @@
         localOwner.isPresent() && localOwner.get().term() == knownOwner.term(),
         ownerSilent,
         store.silentMillis(),
-        !released,
+        !released && Clocks.monotonicMillis() >= claimNotBeforeMillis,
         claimOrder.processorMillis(),
         localOwner.map(JobOwner::lastStoredRenewalStop).orElse(0L));
   }
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerElectionTest.java
@@ -1,13 +1,16 @@
 package org.lavenderstage.entry.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -205,4 +208,47 @@
     awaitUntil(second::ownsJobs);
     assertEquals(2, second.election.owner().term());
   }
+
+  /** Guards against a hung owner that told the other entries that it owns the jobs. */
+  @Test
+  void ownerWhoseThreadStandsStillIsReplaced() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    List<KeyedRecord> blocking =
+        new AbstractList<>() {
+          @Override
+          public KeyedRecord get(int index) {
+            awaitUninterruptibly(release);
+            return new KeyedRecord("w", Optional.empty());
+          }
+
+          @Override
+          public int size() {
+            return 1;
+          }
+        };
+    JobOwner owner = first.ownership.current().orElseThrow();
+    owner.post(new OwnerEvent.ListingsRead(new TopicReader.Poll.Changes(blocking)));
+    try {
+      awaitUntil(second::ownsJobs);
+      assertEquals(2, second.election.owner().term());
+      assertFalse(first.ownsJobs());
+    } finally {
+      release.countDown();
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    boolean interrupted = false;
+    while (true) {
+      try {
+        latch.await();
+        break;
+      } catch (InterruptedException e) {
+        interrupted = true;
+      }
+    }
+    if (interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -106,6 +106,8 @@
   OWNER_LOAD(7112),
   /** This entry has run an owner's code with simulated workers. */
   OWNER_WARMED_UP(7113),
+  /** The thread of the owner in this entry stands still; the entry gives up the jobs. */
+  OWNER_STALLED(7114),
   /** A caller's request was answered. */
   CALL_ANSWERED(7201),
   /** A job was submitted; it is not stored yet. */
