End an attempt at the owner and answer its caller in one step

A caller whose time ended between the two steps would be told that its request has no effect, though the owner had accepted it. CallRouterTest.callerWhoseTimeEndsAsOwnerAnswers- ReceivesThatAnswer guards the order.

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -106,11 +106,8 @@
   }
 
   private void handleLocalAnswer(ForwardedCall forwarded, JobAnswer answer) {
-    if (answer instanceof JobAnswer.Undecided) {
-      forwarded.endAttempt(true);
+    if (!forwarded.endAttempt(answer)) {
       forward(forwarded);
-    } else {
-      forwarded.complete(answer);
     }
   }
 
@@ -129,18 +126,13 @@
     String why = "the jobs have no owner";
     while (Clocks.monotonicMillis() < latestMillis && !stopping && forwarded.beginAttempt()) {
       JobAnswer answer = tryCurrentOwner(call);
-      forwarded.endAttempt(answer instanceof JobAnswer.Undecided);
-      if (answer instanceof JobAnswer.Undecided undecidedAnswer) {
-        why = undecidedAnswer.why();
+      if (forwarded.endAttempt(answer)) {
+        return;
+      }
+      if (answer instanceof JobAnswer.Undecided undecided) {
+        why = undecided.why();
       } else if (answer instanceof JobAnswer.Rejected rejected) {
-        if (rejected.retryAfterMillis() > 0 && !forwarded.isOutcomeUnknown()) {
-          forwarded.complete(rejected);
-          return;
-        }
         why = rejected.why();
-      } else {
-        forwarded.complete(answer);
-        return;
       }
       if (Clocks.monotonicMillis() >= retryUntilMillis) {
         break;
--- a/entry/src/main/java/org/lavenderstage/entry/job/ForwardedCall.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/ForwardedCall.java
@@ -42,22 +42,27 @@
   }
 
   /**
-   * Ends an attempt.
+   * Ends an attempt, and answers the caller if the result settles the request. Both are one step: a
+   * caller whose time ends in between would be told that the request has no effect.
    *
-   * @param mayHaveEffect whether the owner may have received the request without an answer
+   * @param result the owner's answer; a rejection with a retry time of 0 reached no owner
+   * @return whether the request is settled, so that no other attempt is needed
    */
-  synchronized void endAttempt(boolean mayHaveEffect) {
+  synchronized boolean endAttempt(JobAnswer result) {
     attempting = false;
-    outcomeUnknown |= mayHaveEffect;
-  }
-
-  synchronized boolean isOutcomeUnknown() {
-    return outcomeUnknown;
-  }
-
-  /** Answers the caller, unless it was answered already. */
-  synchronized void complete(JobAnswer known) {
-    answer.complete(known);
+    boolean settled =
+        switch (result) {
+          case JobAnswer.Undecided undecided -> {
+            outcomeUnknown = true;
+            yield false;
+          }
+          case JobAnswer.Rejected rejected -> rejected.retryAfterMillis() > 0 && !outcomeUnknown;
+          default -> true;
+        };
+    if (settled) {
+      answer.complete(result);
+    }
+    return settled;
   }
 
   /**
--- a/entry/src/test/java/org/lavenderstage/entry/job/CallRouterTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/CallRouterTest.java
@@ -17,6 +17,9 @@
   private static final long SHORT_MILLIS = 50;
   private static final long LONG_MILLIS = 60_000;
 
+  /** The result of an attempt that reached no owner. */
+  private static final JobAnswer NOT_REACHED = new JobAnswer.Rejected("not reached", 0);
+
   private static JobCall call(long answerByMillis) {
     return new JobCall(
         "r", JobVerb.SUBMIT, "queue", "5c0e7a21d94b36f8", Optional.empty(), answerByMillis);
@@ -90,7 +93,7 @@
   void callerWhoseRequestReachedNoOwnerIsRejected() throws Exception {
     ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
-    forwarded.endAttempt(false);
+    assertFalse(forwarded.endAttempt(NOT_REACHED));
     forwarded.answerAfter(SHORT_MILLIS);
     assertInstanceOf(JobAnswer.Rejected.class, answerOf(forwarded));
   }
@@ -99,9 +102,9 @@
   void outcomeStaysUnknownAfterLaterAttemptThatReachedNoOwner() throws Exception {
     ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
-    forwarded.endAttempt(true);
+    assertFalse(forwarded.endAttempt(new JobAnswer.Undecided("no answer")));
     assertTrue(forwarded.beginAttempt());
-    forwarded.endAttempt(false);
+    assertFalse(forwarded.endAttempt(NOT_REACHED));
     forwarded.giveUp("no owner");
     assertInstanceOf(JobAnswer.Undecided.class, answerOf(forwarded));
   }
@@ -110,7 +113,7 @@
   void outcomeThatWasUnknownAfterFirstAttemptStaysUnknown() throws Exception {
     ForwardedCall forwarded = forwarded();
     assertTrue(forwarded.beginAttempt());
-    forwarded.endAttempt(true);
+    assertFalse(forwarded.endAttempt(new JobAnswer.Undecided("no answer")));
     forwarded.giveUp("no owner");
     assertInstanceOf(JobAnswer.Undecided.class, answerOf(forwarded));
   }
@@ -120,7 +123,7 @@
     ForwardedCall forwarded = forwarded();
     forwarded.answerAfter(LONG_MILLIS);
     assertTrue(forwarded.beginAttempt());
-    forwarded.complete(new JobAnswer.Accepted());
+    assertTrue(forwarded.endAttempt(new JobAnswer.Accepted()));
     assertEquals(new JobAnswer.Accepted(), answerOf(forwarded));
   }
 
@@ -130,4 +133,14 @@
     assertEquals(425, FrontServer.replyTimeoutMillis(500));
     assertTrue(FrontServer.replyTimeoutMillis(1_500) <= 900);
   }
+
+  /** Guards against a caller whose job was accepted, and which was told that it never runs. */
+  @Test
+  void callerWhoseTimeEndsAsOwnerAnswersReceivesThatAnswer() throws Exception {
+    ForwardedCall forwarded = forwarded();
+    assertTrue(forwarded.beginAttempt());
+    assertTrue(forwarded.endAttempt(new JobAnswer.Accepted()));
+    forwarded.giveUp("the time is over");
+    assertEquals(new JobAnswer.Accepted(), answerOf(forwarded));
+  }
 }
