Send the starts of interrupted long-running tasks before those of a backlog

A long-running task of a drained worker that was placed behind a backlog got its start last, on the newest worker.

Orders now go out by precedence: stops, which free capacity, then interrupted long-running tasks, then the others in the order of their placement.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.JobRecord;
@@ -344,36 +343,25 @@
   }
 
   private void addRunOrders(long nowMillis, List<Order> orders) {
-    Set<String> due = runs.awaitingOrder.dueWorkers(nowMillis);
-    if (due.isEmpty()) {
-      return;
-    }
-    for (Worker worker : workers.all()) {
-      if (due.contains(worker.id())) {
-        addRunOrders(worker, nowMillis, orders);
-      }
+    for (Run run : runs.awaitingOrder.due(nowMillis)) {
+      workers.find(run.worker()).ifPresent(worker -> addRunOrder(worker, run, nowMillis, orders));
     }
   }
 
-  private void addRunOrders(Worker worker, long nowMillis, List<Order> orders) {
-    for (Run run : worker.runs()) {
-      if (!run.isOrderDue(nowMillis)) {
-        continue;
-      }
-      boolean mayStart =
-          worker.isIncarnationStored()
-              && worker.mayRenewLease()
-              && worker.isClockKnown()
-              && !worker.isUnresponsive();
-      if (run.state() == Run.State.STARTING && mayStart && remainingStarts > 0) {
-        remainingStarts--;
-        long leaseUntilMillis = workers.grantLease(worker, nowMillis);
-        run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
-        orders.add(new Order.Start(worker, run, leaseUntilMillis));
-      } else if (run.state() == Run.State.STOPPING) {
-        run.recordOrderSent();
-        orders.add(new Order.Stop(worker, run));
-      }
+  private void addRunOrder(Worker worker, Run run, long nowMillis, List<Order> orders) {
+    boolean mayStart =
+        worker.isIncarnationStored()
+            && worker.mayRenewLease()
+            && worker.isClockKnown()
+            && !worker.isUnresponsive();
+    if (run.state() == Run.State.STARTING && mayStart && remainingStarts > 0) {
+      remainingStarts--;
+      long leaseUntilMillis = workers.grantLease(worker, nowMillis);
+      run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
+      orders.add(new Order.Start(worker, run, leaseUntilMillis));
+    } else if (run.state() == Run.State.STOPPING) {
+      run.recordOrderSent();
+      orders.add(new Order.Stop(worker, run));
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.core.pool;
 
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -25,15 +26,26 @@
         .toList();
   }
 
-  /** Returns the identifiers of the workers with a run for which an order is due. */
-  Set<String> dueWorkers(long nowMillis) {
+  /**
+   * Returns the runs for which an order is due: first those to be stopped, which free capacity,
+   * then interrupted long-running tasks, then the others in the order in which they were placed.
+   */
+  List<Run> due(long nowMillis) {
     runs.removeIf(run -> run.state() != Run.State.STARTING && run.state() != Run.State.STOPPING);
-    Set<String> ids = new HashSet<>();
+    List<Run> due = new ArrayList<>();
     for (Run run : runs) {
       if (run.isOrderDue(nowMillis)) {
-        ids.add(run.worker());
+        due.add(run);
       }
     }
-    return ids;
+    due.sort(Comparator.comparingInt(RunsAwaitingOrder::precedence));
+    return due;
+  }
+
+  private static int precedence(Run run) {
+    if (run.state() == Run.State.STOPPING) {
+      return 0;
+    }
+    return run.task().hasBegun() ? 1 : 2;
   }
 }
