--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.JobRecord;
@@ -342,13 +343,29 @@
     }
   }
 
+  /**
+   * Adds the due orders to runs. Interrupted long-running tasks come first, so that their starts do
+   * not wait behind those of a backlog.
+   */
   private void addRunOrders(long nowMillis, List<Order> orders) {
-    for (Run run : runs.awaitingOrder.due(nowMillis)) {
-      workers.find(run.worker()).ifPresent(worker -> addRunOrder(worker, run, nowMillis, orders));
+    Set<String> due = runs.awaitingOrder.dueWorkers(nowMillis);
+    if (due.isEmpty()) {
+      return;
+    }
+    for (Run run : runs.awaitingOrder.interruptedStarts()) {
+      addRunOrder(workers.find(run.worker()).orElseThrow(), run, nowMillis, orders);
+    }
+    for (Worker worker : workers.all()) {
+      if (due.contains(worker.id())) {
+        worker.runs().forEach(run -> addRunOrder(worker, run, nowMillis, orders));
+      }
     }
   }
 
   private void addRunOrder(Worker worker, Run run, long nowMillis, List<Order> orders) {
+    if (!run.isOrderDue(nowMillis)) {
+      return;
+    }
     boolean mayStart =
         worker.isIncarnationStored()
             && worker.mayRenewLease()
--- a/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunsAwaitingOrder.java
@@ -1,7 +1,6 @@
 package org.lavenderstage.core.pool;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -26,26 +25,22 @@
         .toList();
   }
 
-  /**
-   * Returns the runs for which an order is due: first those to be stopped, which free capacity,
-   * then interrupted long-running tasks, then the others in the order in which they were placed.
-   */
-  List<Run> due(long nowMillis) {
+  /** Returns the starting runs of interrupted long-running tasks. */
+  List<Run> interruptedStarts() {
+    return runs.stream()
+        .filter(run -> run.state() == Run.State.STARTING && run.task().hasBegun())
+        .toList();
+  }
+
+  /** Returns the identifiers of the workers with a run for which an order is due. */
+  Set<String> dueWorkers(long nowMillis) {
     runs.removeIf(run -> run.state() != Run.State.STARTING && run.state() != Run.State.STOPPING);
-    List<Run> due = new ArrayList<>();
+    Set<String> ids = new HashSet<>();
     for (Run run : runs) {
       if (run.isOrderDue(nowMillis)) {
-        due.add(run);
+        ids.add(run.worker());
       }
     }
-    due.sort(Comparator.comparingInt(RunsAwaitingOrder::precedence));
-    return due;
-  }
-
-  private static int precedence(Run run) {
-    if (run.state() == Run.State.STOPPING) {
-      return 0;
-    }
-    return run.task().hasBegun() ? 1 : 2;
+    return ids;
   }
 }
