Start all members of a gang from the same checkpoint

Each member started from its own checkpoint; now all get that of one member. GangPlacementTest.membersOfAGangResumeFromTheSame- Checkpoint failed before, with one member of the second attempt at a checkpoint and the others at none.

--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -263,12 +263,25 @@
       return;
     }
     waitLog.recordPlaced(step.job());
+    alignCheckpoints(waiting);
     int attempt = waiting.stream().mapToInt(this::nextAttempt).max().orElseThrow();
     for (Run run : allocated) {
       startRun(run.task(), workers.find(run.worker()).orElseThrow(), attempt, nowMillis);
     }
   }
 
+  /**
+   * Lets all members of a gang resume from the same checkpoint: that of any member is valid for the
+   * gang, and members with different ones do not work together.
+   */
+  private static void alignCheckpoints(List<Task> members) {
+    members.stream()
+        .map(Task::checkpoint)
+        .filter(checkpoint -> !checkpoint.isEmpty())
+        .findFirst()
+        .ifPresent(checkpoint -> members.forEach(member -> member.updateCheckpoint(checkpoint)));
+  }
+
   /**
    * Returns whether the allowed workers have enough free capacity for all members. This is a cheap
    * check before the actual search.
--- a/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
@@ -4,12 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
+import org.lavenderstage.core.job.TaskId;
 
 /** Verifies that the members of a gang start together or not at all. Workers have 8 cores. */
 class GangPlacementTest {
@@ -64,4 +70,41 @@
     simulation.run(300);
     assertEquals(1, orderedRuns(job).size());
   }
+
+  /** Guards against a gang whose members never work together after one of them was stopped. */
+  @Test
+  void membersOfAGangResumeFromTheSameCheckpoint() {
+    PoolSimulation pool = new PoolSimulation(SEED, 4);
+    SimulatedGangs gangs = new SimulatedGangs();
+    pool.workers.forEach(
+        worker -> {
+          worker.resumesFromCheckpoint = true;
+          worker.gangs = gangs;
+        });
+    pool.run(200);
+    StepSpec gang =
+        StepBuilder.of(3, 4_000, 60_000).gang().maxPerWorker(1).checkpointing(true).build();
+    Map<Integer, Set<String>> checkpoints = new HashMap<>();
+    pool.outcomes =
+        order -> {
+          if (order instanceof Order.Start start) {
+            Run run = start.run();
+            checkpoints
+                .computeIfAbsent(run.attempt(), key -> new HashSet<>())
+                .add(run.startCheckpoint());
+          }
+          return PoolSimulation.OrderOutcome.answered();
+        };
+    Job job = pool.submit(List.of(gang), 0);
+    pool.run(2_000);
+    TaskId second = new TaskId(job.id(), 0, 0, 1);
+    pool.workers.stream().filter(worker -> worker.runs(second)).findFirst().orElseThrow().draining =
+        true;
+    pool.run(3_000);
+    assertTrue(checkpoints.size() > 1, checkpoints::toString);
+    assertTrue(
+        checkpoints.values().stream().allMatch(values -> values.size() == 1),
+        checkpoints::toString);
+    assertFalse(checkpoints.get(2).contains(""), checkpoints::toString);
+  }
 }
