Answer calls for a job only in its own queue

The owner now finds a job only in the queue of the call, and rejects a submission whose identifier another queue uses. JobOwnerTest.jobIsUnknownInOtherQueues.

--- a/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/CallRouter.java
@@ -251,6 +251,7 @@
       case "Cancelled" -> new JobAnswer.Cancelled();
       case "Waiting" -> new JobAnswer.Waiting(reply.count());
       case "UnknownJob" -> new JobAnswer.UnknownJob();
+      case "Malformed" -> new JobAnswer.Malformed(reply.text());
       case "Rejected" -> new JobAnswer.Rejected(reply.text(), reply.retryAfterMillis());
       default -> new JobAnswer.Undecided(reply.text());
     };
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -360,8 +360,18 @@
     }
   }
 
+  /** Finds the job that a call names, unless it belongs to another queue than the call's. */
+  private Optional<Job> find(JobCall call) {
+    return scheduler.find(call.job()).filter(known -> known.rules().queue().equals(call.queue()));
+  }
+
   private void submit(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
-    Optional<Job> known = scheduler.find(call.job());
+    Optional<Job> known = find(call);
+    if (known.isEmpty() && scheduler.find(call.job()).isPresent()) {
+      // The names of its tasks would be those of the other job.
+      answer.complete(new JobAnswer.Malformed("the identifier is in use in another queue"));
+      return;
+    }
     if (known.isEmpty() && journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
       answer.complete(APPEND_PENDING_ANSWER);
       return;
@@ -375,7 +385,7 @@
   }
 
   private void cancel(JobCall call, CompletableFuture<JobAnswer> answer, long nowMillis) {
-    Optional<Job> known = scheduler.find(call.job());
+    Optional<Job> known = find(call);
     if (known.isEmpty()) {
       answer.complete(noSuchJob(nowMillis));
       return;
@@ -394,7 +404,7 @@
   }
 
   private JobAnswer state(JobCall call, long nowMillis) {
-    Optional<Job> known = scheduler.find(call.job()).filter(Job::isStored);
+    Optional<Job> known = find(call).filter(Job::isStored);
     return known.isPresent() ? new JobAnswer.State(JobState.of(known.get())) : noSuchJob(nowMillis);
   }
 
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobOwnerTest.java
@@ -251,4 +251,30 @@
     assertTrue(stored);
     assertEquals(new JobAnswer.Accepted(), answer.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
   }
+
+  private static JobCall inOtherQueue(JobCall call) {
+    return new JobCall(
+        call.request(),
+        call.verb(),
+        "other",
+        call.job(),
+        call.submission(),
+        Clocks.monotonicMillis() + TIMEOUT_MILLIS);
+  }
+
+  private static JobAnswer answerOf(JobOwner owner, JobCall call) throws Exception {
+    return owner.call(call).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Guards against callers of one queue that see or cancel a job of another one. */
+  @Test
+  void jobIsUnknownInOtherQueues() throws Exception {
+    JobOwner owner = startOwner((order, term) -> recordOrder(order), "w1");
+    assertEquals(new JobAnswer.Accepted(), answerOf(owner, submission()));
+    for (JobVerb verb : List.of(JobVerb.STATE, JobVerb.CANCEL)) {
+      assertEquals(new JobAnswer.UnknownJob(), answerOf(owner, inOtherQueue(query(verb))));
+    }
+    assertInstanceOf(JobAnswer.Malformed.class, answerOf(owner, inOtherQueue(submission())));
+    assertInstanceOf(JobAnswer.State.class, answerOf(owner, query(JobVerb.STATE)));
+  }
 }
