Split the renewal of leases, the numbers of ended runs and the waiting callers into classes of their own

No change of behaviour: RenewalPolicy, LeaseRenewal, UnreportedRuns and EndedRunNumbers out of WorkerTable and Worker, and WaitingCallers out of JobOwner.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -273,7 +273,7 @@
     jobs.openDueOccurrences(wallMillis);
     dropUnsentStarts();
     workers.step(nowMillis, orders);
-    if (inheritedRunsUnknown && !workers.mayHaveUnreportedRuns(nowMillis)) {
+    if (inheritedRunsUnknown && !workers.unreportedRuns().isAnyTaskConcerned(nowMillis)) {
       inheritedRunsUnknown = false;
       log.record(Decision.INHERITANCE_SETTLED, "jobs", jobs.size());
     }
@@ -368,7 +368,7 @@
     }
     boolean mayStart =
         worker.isIncarnationStored()
-            && worker.mayRenewLease()
+            && worker.renewal().isAllowed()
             && worker.isClockKnown()
             && !worker.isUnresponsive();
     if (run.state() == Run.State.STARTING && mayStart && remainingStarts > 0) {
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -107,7 +107,7 @@
    */
   void placeWaitingTasks(boolean anyMayRun, long nowMillis) {
     inheritancePending = anyMayRun;
-    unreportedTasks = workers.unreportedTasks(nowMillis);
+    unreportedTasks = workers.unreportedRuns().listedTasks(nowMillis);
     preemptionPauseUntil.values().removeIf(until -> until < nowMillis);
     deferralLog.beginRound();
     waitLog.beginRound();
@@ -150,7 +150,7 @@
         waitLog.recordDeferred(
             task,
             rank,
-            () -> Map.of(Fit.UNSEEN, workers.unreportedWorkerCount(nowMillis)),
+            () -> Map.of(Fit.UNSEEN, workers.unreportedRuns().workerCount(nowMillis)),
             nowMillis);
       } else {
         (task.isInterrupted(nowMillis) ? interrupted : waiting).add(task);
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -181,8 +181,8 @@
     Set<Run> seen = new HashSet<>();
     List<String> adopted = new ArrayList<>();
     for (WorkerReport.EndedTask ended : report.ended()) {
-      if (ended.number() > worker.seenUpTo()) {
-        worker.recordSeen(ended.number());
+      if (ended.number() > worker.ends().seenUpTo()) {
+        worker.ends().recordSeen(ended.number());
         handleEndedTask(worker, ended, nowMillis, wallMillis);
       }
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -30,8 +30,7 @@
   private boolean recordMayBeStored;
   private boolean recordRemoved;
   private long storedStartedAtMillis;
-  private Optional<RenewalStop> renewalStop = Optional.empty();
-  private boolean renewalStopMayBeStored;
+  private final LeaseRenewal renewal = new LeaseRenewal();
   private boolean inherited;
   private boolean reported;
   private boolean reportedCompletely;
@@ -40,9 +39,7 @@
   private boolean restartSuspected;
   private boolean polledSinceSuspicion;
   private long leaseExpiryMillis;
-  private long seenUpTo;
-  private long storedUpTo;
-  private long acknowledgedUpTo;
+  private EndedRunNumbers ends = new EndedRunNumbers();
   private boolean pollInFlight;
   private String polledAddress = "";
   private long nextPollMillis;
@@ -101,9 +98,7 @@
   /** Resets the state of the previous incarnation; ended runs are numbered from 1 again. */
   void beginIncarnation(long newStartedAtMillis) {
     startedAtMillis = newStartedAtMillis;
-    seenUpTo = 0;
-    storedUpTo = 0;
-    acknowledgedUpTo = 0;
+    ends = new EndedRunNumbers();
     clockKnown = false;
     restartSuspected = false;
   }
@@ -144,31 +139,12 @@
 
   void markRecordSent() {
     recordMayBeStored = true;
-    renewalStopMayBeStored |= renewalStop.isPresent();
+    renewal.recordSent();
   }
 
-  /** Returns the decision to renew the leases no more, if there is one. */
-  Optional<RenewalStop> renewalStop() {
-    return renewalStop;
-  }
-
-  void stopRenewal(RenewalStop stop) {
-    renewalStop = Optional.of(stop);
-  }
-
-  /** Withdraws the decision to renew the leases no more; it holds until that is stored. */
-  void resumeRenewal() {
-    renewalStop = Optional.empty();
-  }
-
-  /** Records that the newest record of the worker is stored, and whether it stops the renewal. */
-  void recordStoredRenewal(boolean stopped) {
-    renewalStopMayBeStored = stopped;
-  }
-
-  /** Returns whether leases may be granted: a later owner would rely on a stored stop of them. */
-  boolean mayRenewLease() {
-    return renewalStop.isEmpty() && !renewalStopMayBeStored;
+  /** Returns whether the worker's leases are renewed. */
+  LeaseRenewal renewal() {
+    return renewal;
   }
 
   /** Returns whether all tasks that may run on the worker are tracked. */
@@ -259,23 +235,9 @@
     leaseExpiryMillis = monotonicMillis - 1;
   }
 
-  /** Returns the highest number of an ended run that this owner knows. */
-  long seenUpTo() {
-    return seenUpTo;
-  }
-
-  void recordSeen(long number) {
-    seenUpTo = Math.max(seenUpTo, number);
-  }
-
-  /** Returns the highest number of an ended run that is stored. */
-  long storedUpTo() {
-    return storedUpTo;
-  }
-
-  void recordStoredEnds(long number) {
-    storedUpTo = Math.max(storedUpTo, number);
-    seenUpTo = Math.max(seenUpTo, number);
+  /** Returns the numbers of the ended runs of the current incarnation. */
+  EndedRunNumbers ends() {
+    return ends;
   }
 
   /**
@@ -286,16 +248,7 @@
    */
   long nextAcknowledgement() {
     boolean sameIncarnation = reported && !restartSuspected && !isUnresponsive();
-    return sameIncarnation && storedUpTo > acknowledgedUpTo ? storedUpTo : 0;
-  }
-
-  /** Returns whether the worker discarded all ended runs, so that a later owner gets none. */
-  boolean hasAcknowledgedAllEnds() {
-    return seenUpTo == storedUpTo && storedUpTo == acknowledgedUpTo;
-  }
-
-  void recordAcknowledged(long number) {
-    acknowledgedUpTo = Math.max(acknowledgedUpTo, number);
+    return sameIncarnation && ends.isAcknowledgementDue() ? ends.storedUpTo() : 0;
   }
 
   /** Returns whether the worker is to be polled now; at once when a restart is suspected. */
@@ -350,7 +303,7 @@
   /** Returns whether the worker may be given new runs. */
   boolean takesRuns(long monotonicMillis) {
     return isIncarnationStored()
-        && mayRenewLease()
+        && renewal.isAllowed()
         && reported
         && isClockKnown()
         && !isUnresponsive()
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -10,8 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.WorkerRecord;
 
@@ -43,35 +40,21 @@
   /** Time between polls while ended runs wait to be stored, in milliseconds. */
   private static final long UNSTORED_POLL_PAUSE_MILLIS = 500;
 
-  /**
-   * Number of polls in a row without a report after which the renewal of leases is stopped; a
-   * single report is lost often.
-   */
-  private static final int POLLS_BEFORE_RENEWAL_STOP = 2;
-
-  /** Bits of a stop's number below those of the term, so that numbers grow from term to term. */
-  private static final int STOP_NUMBER_BITS = 32;
-
-  /** Maximum number of tasks that are listed in a worker's record, which has a limited size. */
-  private static final int MAX_LISTED_TASKS = 2_000;
-
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Set<Worker> unstoredWorkers = new LinkedHashSet<>();
   private final List<StoredChange> removals = new ArrayList<>();
   private final PoolTiming timing;
   private final RunTracker runs;
   private final DecisionLog log;
-  private final long term;
+  private final RenewalPolicy renewals;
+  private final UnreportedRuns unreportedRuns = new UnreportedRuns(workers.values());
   private long previousOwnerInactiveMillis = Long.MIN_VALUE;
-  private long lastRenewalStop;
-  private long lastStoredRenewalStop;
 
   WorkerTable(long term, PoolTiming timing, RunTracker runs, DecisionLog log) {
-    this.term = term;
-    this.lastRenewalStop = term << STOP_NUMBER_BITS;
     this.timing = timing;
     this.runs = runs;
     this.log = log;
+    renewals = new RenewalPolicy(term, timing, log);
   }
 
   Collection<Worker> all() {
@@ -82,33 +65,21 @@
     return Optional.ofNullable(workers.get(id));
   }
 
-  /**
-   * Adds a worker of a previous owner; its runs may continue until their lease expires. If the
-   * previous owner had stopped the renewal, the lease is counted from the time at which this entry
-   * learned of that, and no previous owner renews it.
-   */
+  /** Returns which tasks may have runs of previous owners that are not known. */
+  UnreportedRuns unreportedRuns() {
+    return unreportedRuns;
+  }
+
+  /** Adds a worker of a previous owner; its runs may continue until their lease expires. */
   void load(WorkerRecord record, RenewalStops renewalStops, long nowMillis) {
     Worker worker = new Worker(record.worker(), record.address());
     worker.markInherited();
     worker.setStartedAtMillis(Long.parseLong(record.incarnation()));
     worker.markRecordStored(worker.startedAtMillis());
-    worker.recordStoredEnds(record.notedUpTo());
+    worker.ends().recordStored(record.notedUpTo());
     previousOwnerInactiveMillis = nowMillis + timing.previousOwnerRenewalMillis();
-    // An owner of an earlier version does not know of stops. Therefore each owner stores those that
-    // are in force under its own term.
-    if (record.renewalStopTerm() > 0 && record.renewalStopTerm() == term - 1) {
-      RenewalStop stop =
-          new RenewalStop(
-              record.renewalStop(),
-              record.sinceRenewalMillis(),
-              Optional.ofNullable(record.mayRun()).map(Set::copyOf));
-      worker.stopRenewal(stop);
+    if (renewals.restore(worker, record, renewalStops, nowMillis)) {
       unstoredWorkers.add(worker);
-      long renewedMillis =
-          renewalStops.knownSinceMillis(stop.number()).orElse(nowMillis)
-              - stop.sinceRenewalMillis();
-      worker.extendLease(renewedMillis + timing.longestLeaseMillis());
-      lastStoredRenewalStop = Math.max(lastStoredRenewalStop, stop.number());
     } else {
       worker.extendLease(previousOwnerInactiveMillis + timing.longestLeaseMillis());
     }
@@ -206,7 +177,7 @@
    * that a later owner does not wait for it once it has shut down.
    */
   private void removeRecordIfEmpty(Worker worker, long nowMillis) {
-    boolean allAcknowledged = worker.isIncarnationStored() && worker.hasAcknowledgedAllEnds();
+    boolean allAcknowledged = worker.isIncarnationStored() && worker.ends().isAllAcknowledged();
     if (allAcknowledged
         && isEmpty(worker, nowMillis)
         && !worker.isUnresponsive()
@@ -238,11 +209,11 @@
     worker.recordPollSent();
     long leaseUntilMillis = 0;
     boolean reachable = worker.isClockKnown() && worker.hasReported() && !worker.isUnresponsive();
-    if (reachable && worker.mayRenewLease()) {
+    if (reachable && worker.renewal().isAllowed()) {
       leaseUntilMillis = grantLease(worker, nowMillis);
     }
     boolean incarnationKnown = worker.hasReported() && !worker.isRestartSuspected();
-    boolean mayWait = incarnationKnown && worker.seenUpTo() == worker.storedUpTo();
+    boolean mayWait = incarnationKnown && worker.ends().seenUpTo() == worker.ends().storedUpTo();
     int maxWaitMillis = mayWait ? maxReportWait(worker) : 0;
     return new Order.Poll(
         worker, leaseUntilMillis, worker.nextAcknowledgement(), maxWaitMillis, nowMillis);
@@ -279,8 +250,8 @@
         if (wasUnresponsive) {
           log.record(Decision.WORKER_BACK, "worker", worker.id());
         }
-        if (worker.renewalStop().isPresent()) {
-          worker.resumeRenewal();
+        if (worker.renewal().stop().isPresent()) {
+          worker.renewal().resume();
           unstoredWorkers.add(worker);
         }
         handleReport(order, reported.report(), nowMillis, wallMillis, orders);
@@ -305,52 +276,16 @@
               "runs",
               worker.runs().size());
         }
-        stopRenewalIfDue(worker, nowMillis);
+        // A stop cannot be relied upon as long as a previous owner may still renew the leases.
+        if (nowMillis >= previousOwnerInactiveMillis && renewals.stopIfDue(worker, nowMillis)) {
+          unstoredWorkers.add(worker);
+        }
       }
       case OrderResult.Accepted accepted ->
           throw new IllegalArgumentException("expected a report, found a result without one");
     }
   }
 
-  /**
-   * Stops the renewal of leases on a worker that has left several polls unanswered, for a later
-   * owner. As long as a previous owner may still renew them, a stop could not be relied upon.
-   */
-  private void stopRenewalIfDue(Worker worker, long nowMillis) {
-    if (worker.failedPolls() < POLLS_BEFORE_RENEWAL_STOP
-        || worker.renewalStop().isPresent()
-        || !worker.isRecordStored()
-        || nowMillis < previousOwnerInactiveMillis) {
-      return;
-    }
-    long renewedMillis = worker.leaseExpiryMillis() - timing.longestLeaseMillis();
-    Set<String> tasks = new HashSet<>();
-    worker.runs().forEach(run -> tasks.add(run.task().id().toString()));
-    worker
-        .unansweredOrders()
-        .starts(nowMillis)
-        .keySet()
-        .forEach(task -> tasks.add(task.toString()));
-    boolean listed = worker.isEachRunTracked() && tasks.size() <= MAX_LISTED_TASKS;
-    RenewalStop stop =
-        new RenewalStop(
-            ++lastRenewalStop,
-            Math.max(0, nowMillis - renewedMillis),
-            listed ? Optional.of(Set.copyOf(tasks)) : Optional.empty());
-    worker.stopRenewal(stop);
-    unstoredWorkers.add(worker);
-    log.record(
-        Decision.RENEWAL_STOPPED,
-        "worker",
-        worker.id(),
-        "number",
-        stop.number(),
-        "since-renewal-ms",
-        stop.sinceRenewalMillis(),
-        "tasks",
-        listed ? tasks.size() : "unknown");
-  }
-
   private void handlePollRejection(Worker worker, Rejection reason, long nowMillis) {
     worker.recordPollEnded(false, nowMillis + POLL_RETRY_PAUSE_MILLIS);
     log.record(Decision.ORDER_REJECTED, "order", "hold", "worker", worker.id(), "reason", reason);
@@ -370,7 +305,7 @@
       handleRestart(worker, report, order.sentAtMillis(), nowMillis, orders);
     } else {
       worker.confirmIncarnation();
-      worker.recordAcknowledged(order.acknowledgedUpTo());
+      worker.ends().recordAcknowledged(order.acknowledgedUpTo());
     }
     worker.sampleClock(report.clockMillis(), nowMillis);
     if (report.isComplete()) {
@@ -387,17 +322,17 @@
           "ended",
           report.ended().size());
     }
-    long seenBefore = worker.seenUpTo();
+    long seenBefore = worker.ends().seenUpTo();
     runs.handleReport(worker, report, order.sentAtMillis(), nowMillis, wallMillis, orders);
     if (order.sentAtMillis() > previousOwnerInactiveMillis) {
       // A previous owner starts a task again only after it considers its run ended.
       runs.clearInheritedMarks(worker, report);
     }
-    if (worker.seenUpTo() > seenBefore) {
+    if (worker.ends().seenUpTo() > seenBefore) {
       worker.setRecordRemoved(false);
       unstoredWorkers.add(worker);
     }
-    if (worker.seenUpTo() > worker.storedUpTo()) {
+    if (worker.ends().seenUpTo() > worker.ends().storedUpTo()) {
       worker.recordPollEnded(true, nowMillis + UNSTORED_POLL_PAUSE_MILLIS);
     }
   }
@@ -436,37 +371,6 @@
     worker.setReported(false);
   }
 
-  /** Returns whether any task may have a run of a previous owner that is not reported yet. */
-  boolean mayHaveUnreportedRuns(long nowMillis) {
-    return unreported(nowMillis).anyMatch(worker -> !isEachTaskListed(worker));
-  }
-
-  /** Counts the workers of a previous owner that may have runs not reported yet. */
-  int unreportedWorkerCount(long nowMillis) {
-    return (int) unreported(nowMillis).count();
-  }
-
-  /** Returns the listed tasks that may have a run of a previous owner that is not reported yet. */
-  Set<String> unreportedTasks(long nowMillis) {
-    return unreported(nowMillis)
-        .filter(WorkerTable::isEachTaskListed)
-        .flatMap(worker -> worker.renewalStop().orElseThrow().mayRun().orElseThrow().stream())
-        .collect(Collectors.toSet());
-  }
-
-  private Stream<Worker> unreported(long nowMillis) {
-    return workers.values().stream()
-        .filter(
-            w ->
-                w.isRecordStored()
-                    && !w.hasReportedCompletely()
-                    && nowMillis <= w.leaseExpiryMillis());
-  }
-
-  private static boolean isEachTaskListed(Worker worker) {
-    return worker.renewalStop().flatMap(RenewalStop::mayRun).isPresent();
-  }
-
   boolean hasChanges() {
     return !unstoredWorkers.isEmpty() || !removals.isEmpty();
   }
@@ -474,15 +378,12 @@
   /** Returns whether a worker gets no runs until its record is stored. */
   boolean hasAwaitedChanges() {
     return unstoredWorkers.stream()
-        .anyMatch(
-            worker ->
-                !worker.isIncarnationStored()
-                    || (worker.renewalStop().isEmpty() && !worker.mayRenewLease()));
+        .anyMatch(worker -> !worker.isIncarnationStored() || worker.renewal().isResuming());
   }
 
   /** Returns the number up to which decisions to stop the renewal of leases are stored. */
   long lastStoredRenewalStop() {
-    return lastStoredRenewalStop;
+    return renewals.lastStoredNumber();
   }
 
   /**
@@ -496,46 +397,30 @@
     List<JournalBatch.StoredEnds> storedEnds = new ArrayList<>(unstoredWorkers.size());
     for (Worker worker : unstoredWorkers) {
       worker.markRecordSent();
-      changes.add(StoredChange.put(createRecord(worker)));
+      changes.add(StoredChange.put(renewals.createRecord(worker)));
       storedEnds.add(
           new JournalBatch.StoredEnds(
               worker,
               worker.startedAtMillis(),
-              worker.seenUpTo(),
-              worker.renewalStop().map(RenewalStop::number).orElse(0L)));
+              worker.ends().seenUpTo(),
+              worker.renewal().stop().map(RenewalStop::number).orElse(0L)));
     }
     unstoredWorkers.clear();
     removals.clear();
     return storedEnds;
   }
 
-  private WorkerRecord createRecord(Worker worker) {
-    Optional<RenewalStop> stop = worker.renewalStop();
-    return new WorkerRecord(
-        worker.id(),
-        Long.toString(worker.startedAtMillis()),
-        worker.address(),
-        worker.seenUpTo(),
-        stop.isPresent() ? term : 0,
-        stop.map(RenewalStop::number).orElse(0L),
-        stop.map(RenewalStop::sinceRenewalMillis).orElse(0L),
-        stop.flatMap(RenewalStop::mayRun).map(List::copyOf).orElse(null));
-  }
-
   void handleStoredEnds(JournalBatch.StoredEnds storedEnds, long nowMillis) {
     Worker worker = storedEnds.worker();
-    boolean couldRenew = worker.mayRenewLease();
-    worker.recordStoredRenewal(storedEnds.renewalStop() > 0);
-    lastStoredRenewalStop = Math.max(lastStoredRenewalStop, storedEnds.renewalStop());
-    if (!couldRenew && worker.mayRenewLease()) {
+    if (renewals.recordStored(worker, storedEnds.renewalStop())) {
       worker.pollSoon(nowMillis);
     }
     if (!worker.isRecordRemoved()) {
       worker.markRecordStored(storedEnds.workerStartedAtMillis());
     }
     if (worker.startedAtMillis() == storedEnds.workerStartedAtMillis()
-        && storedEnds.upTo() > worker.storedUpTo()) {
-      worker.recordStoredEnds(storedEnds.upTo());
+        && storedEnds.upTo() > worker.ends().storedUpTo()) {
+      worker.ends().recordStored(storedEnds.upTo());
       worker.pollSoon(nowMillis);
     }
   }
--- a/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
@@ -96,10 +96,10 @@
             .findFirst()
             .orElseThrow();
     assertFalse(known.isUnresponsive());
-    assertFalse(known.mayRenewLease());
+    assertFalse(known.renewal().isAllowed());
     simulation.storeDown = false;
     simulation.run(1_000);
-    assertTrue(known.mayRenewLease());
+    assertTrue(known.renewal().isAllowed());
     assertEquals(0, record(worker).renewalStop());
     simulation.run(10_000);
     assertTrue(worker.runs(firstTask(job)));
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobOwner.java
@@ -1,10 +1,6 @@
 package org.lavenderstage.entry.job;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
@@ -63,6 +59,9 @@
   private static final JobAnswer APPEND_PENDING_ANSWER =
       new JobAnswer.Rejected("no job can be stored in time", RETRY_AFTER_MILLIS);
 
+  private static final JobAnswer STORE_SILENT_ANSWER =
+      new JobAnswer.Undecided("the store has not answered");
+
   private final long term;
   private final JobScheduler scheduler;
   private final JobJournal journal;
@@ -71,7 +70,7 @@
   private final OwnerPacing pacing = new OwnerPacing();
   private final BoundedRing<OwnerEvent> events = new BoundedRing<>(MAX_QUEUED_EVENTS);
   private final BoundedRing<QueuedCall> calls = new BoundedRing<>(MAX_QUEUED_CALLS);
-  private final Map<Job, List<WaitingCaller>> waitingCallers = new HashMap<>();
+  private final WaitingCallers waitingCallers = new WaitingCallers();
   private final ListingUpdates listingUpdates;
   private volatile boolean deposed;
   private volatile boolean closed;
@@ -88,9 +87,6 @@
   private Thread ownerThread;
   private BackgroundThread stepThread;
 
-  /** A caller that waits until a phase of a job is stored. */
-  private record WaitingCaller(JobCall call, JobPhase phase, CompletableFuture<JobAnswer> answer) {}
-
   JobOwner(
       long term,
       JobScheduler scheduler,
@@ -320,25 +316,7 @@
   private void handleStored(JournalBatch batch, long nowMillis) {
     scheduler.batchStored(batch, nowMillis);
     lastStoredRenewalStop = scheduler.lastStoredRenewalStop();
-    for (Job job : batch.phases().keySet()) {
-      List<WaitingCaller> callers = waitingCallers.get(job);
-      if (callers != null) {
-        callers.removeIf(w -> answerIfStored(job, w));
-        if (callers.isEmpty()) {
-          waitingCallers.remove(job);
-        }
-      }
-    }
-  }
-
-  private static boolean answerIfStored(Job job, WaitingCaller waitingCaller) {
-    if (waitingCaller.phase() == JobPhase.ACTIVE) {
-      return waitingCaller.answer().complete(new JobAnswer.Accepted());
-    }
-    if (job.storedPhase() != JobPhase.ACTIVE) {
-      return waitingCaller.answer().complete(new JobAnswer.Cancelled());
-    }
-    return false;
+    waitingCallers.answerStored(batch.phases().keySet());
   }
 
   private void handleCall(QueuedCall queued) {
@@ -380,7 +358,7 @@
     if (job.isStored()) {
       answer.complete(new JobAnswer.Accepted());
     } else {
-      addWaitingCaller(job, new WaitingCaller(call, JobPhase.ACTIVE, answer));
+      waitingCallers.add(job, call, JobPhase.ACTIVE, answer);
     }
   }
 
@@ -395,14 +373,10 @@
     if (job.storedPhase() != JobPhase.ACTIVE) {
       answer.complete(new JobAnswer.Cancelled());
     } else {
-      addWaitingCaller(job, new WaitingCaller(call, JobPhase.CANCELLED, answer));
+      waitingCallers.add(job, call, JobPhase.CANCELLED, answer);
     }
   }
 
-  private void addWaitingCaller(Job job, WaitingCaller caller) {
-    waitingCallers.computeIfAbsent(job, key -> new ArrayList<>(1)).add(caller);
-  }
-
   private JobAnswer state(JobCall call, long nowMillis) {
     Optional<Job> known = find(call).filter(Job::isStored);
     return known.isPresent() ? new JobAnswer.State(JobState.of(known.get())) : noSuchJob(nowMillis);
@@ -425,32 +399,17 @@
     }
   }
 
-  /** Rejects submissions in no append yet, made before the store was known to be unavailable. */
-  private void rejectUnstoredSubmissions() {
-    for (Job job : scheduler.withdrawUnstored()) {
-      for (WaitingCaller caller : waitingCallers.getOrDefault(job, List.of())) {
-        caller.answer().complete(APPEND_PENDING_ANSWER);
-      }
-      waitingCallers.remove(job);
-    }
-  }
-
   private void expireWaitingCallers(long nowMillis) {
     if (journal.pendingMillis(nowMillis) > REJECT_SUBMISSIONS_AFTER_MILLIS) {
-      rejectUnstoredSubmissions();
-    }
-    boolean appendTimedOut = journal.pendingMillis(nowMillis) > APPEND_TIMEOUT_MILLIS;
-    Iterator<List<WaitingCaller>> lists = waitingCallers.values().iterator();
-    while (lists.hasNext()) {
-      List<WaitingCaller> callers = lists.next();
-      callers.removeIf(
-          w ->
-              (appendTimedOut || nowMillis >= w.call().answerByMillis())
-                  && w.answer().complete(new JobAnswer.Undecided("the store has not answered")));
-      if (callers.isEmpty()) {
-        lists.remove();
+      // These are in no append yet, and were made before the store was known to be unavailable.
+      for (Job job : scheduler.withdrawUnstored()) {
+        waitingCallers.answer(job, APPEND_PENDING_ANSWER);
       }
     }
+    if (journal.pendingMillis(nowMillis) > APPEND_TIMEOUT_MILLIS) {
+      waitingCallers.answerAll(STORE_SILENT_ANSWER);
+    }
+    waitingCallers.answerExpired(STORE_SILENT_ANSWER, nowMillis);
   }
 
   private void endTerm() {
@@ -463,10 +422,7 @@
           "fenced",
           scheduler.isFenced());
     }
-    waitingCallers
-        .values()
-        .forEach(callers -> callers.forEach(w -> w.answer().complete(OWNER_CHANGED_ANSWER)));
-    waitingCallers.clear();
+    waitingCallers.answerAll(OWNER_CHANGED_ANSWER);
     park();
   }
 
