--- a/core/src/test/java/org/lavenderstage/core/pool/ScheduledBacklogTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/ScheduledBacklogTest.java
@@ -24,7 +24,7 @@
   /** Far more than the steps below take, and far less than a quadratic cost. */
   private static final Duration TIME_LIMIT = Duration.ofSeconds(20);
 
-  /** Longest record of the platform's store in bytes, at least some 30 for each listed step. */
+  /** Number of steps of some 64 bytes each that the longest record of the store holds. */
   private static final int MAX_LISTED_STEPS = 262_144 / 64;
 
   private final PoolSimulation simulation = new PoolSimulation(SEED, 4);
