--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -317,6 +317,60 @@
     return Files.readAllLines(recordFile);
   }
 
+  /** Returns the entry that owned the jobs last, by the logs of the entries; empty if none has. */
+  String owner() throws IOException {
+    String owner = "";
+    long highest = 0;
+    for (String name : entries.keySet()) {
+      for (String line : Files.readAllLines(scratch.resolve(name + ".log"))) {
+        String mark = "\"name\":\"owner-claimed\",\"term\":\"";
+        int at = line.indexOf(mark);
+        if (at >= 0) {
+          String rest = line.substring(at + mark.length());
+          long term = Long.parseLong(rest.substring(0, rest.indexOf('"')));
+          owner = term > highest ? name : owner;
+          highest = Math.max(highest, term);
+        }
+      }
+    }
+    return owner;
+  }
+
+  /**
+   * Looks for gaps of lasting tasks that break LOST: nothing runs for 3 s, from 6 s after the last run and from a time
+   * on at which the 4 s before were calm.
+   *
+   * @return the number of such gaps, and the length of the longest gap at all in milliseconds
+   */
+  long[] lastingGaps(String job, int tasks, long calmSinceMillis) throws IOException {
+    long longest = 0;
+    long broken = 0;
+    for (int i = 0; i < tasks; i++) {
+      String task = " " + job + ".0.0." + i + " ";
+      long lastEnd = 0;
+      List<long[]> gaps = new ArrayList<>();
+      for (String line : lines()) {
+        long millis = Long.parseLong(line.substring(0, line.indexOf(' ')));
+        if (line.contains(" end" + task)) {
+          lastEnd = millis;
+        } else if (line.contains(" start" + task) && lastEnd > 0) {
+          gaps.add(new long[] {lastEnd, millis});
+          lastEnd = 0;
+        }
+      }
+      if (lastEnd > 0) {
+        gaps.add(new long[] {lastEnd, System.currentTimeMillis()});
+      }
+      for (long[] gap : gaps) {
+        longest = Math.max(longest, gap[1] - gap[0]);
+        if (gap[1] >= Math.max(gap[0] + 6_000, calmSinceMillis) + 3_000) {
+          broken++;
+        }
+      }
+    }
+    return new long[] {broken, longest};
+  }
+
   /** Writes the verdict, ends all processes and returns the exit code of the case. */
   int verdict(int code, String why) {
     record.line("verdict", (code == RULE_BROKEN ? "broken: " : code == RULE_HELD ? "held: " : "not run: ") + why);
--- a/review/standin-2/Proxy.java
+++ b/review/standin-2/Proxy.java
@@ -9,8 +9,12 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** A TCP proxy before one server. It can make the channels that are open go silent for good, without a reset. */
+/**
+ * A TCP proxy before one server. It can make the channels that are open go silent for good, without a reset; it can
+ * reset all channels and refuse new ones for a while; and it can keep a server's limit of open channels.
+ */
 final class Proxy implements AutoCloseable {
   private static final class Channel {
     final Socket inner;
@@ -26,9 +30,18 @@
   private final ServerSocket listener;
   private final int targetPort;
   private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+  private final int maxChannels;
+  private volatile long refusedUntilNanos = System.nanoTime();
+  private final AtomicInteger refused = new AtomicInteger();
 
   Proxy(int targetPort) throws IOException {
+    this(targetPort, Integer.MAX_VALUE);
+  }
+
+  /** Creates a proxy that closes each channel that would be one more than the server takes. */
+  Proxy(int targetPort, int maxChannels) throws IOException {
     this.targetPort = targetPort;
+    this.maxChannels = maxChannels;
     listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     Thread.ofPlatform().daemon().start(this::accept);
   }
@@ -43,10 +56,38 @@
     return channels.size();
   }
 
+  /** Resets all channels, and refuses new ones for a time. */
+  void refuse(long millis) {
+    refusedUntilNanos = System.nanoTime() + millis * 1_000_000;
+    channels.forEach(
+        channel -> {
+          close(channel.inner);
+          close(channel.outer);
+        });
+  }
+
+  int openChannels() {
+    return channels.size();
+  }
+
+  /** Returns how many channels were closed since they were one more than the server takes. */
+  int refusedChannels() {
+    return refused.get();
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
         Socket outer = listener.accept();
+        if (System.nanoTime() < refusedUntilNanos) {
+          outer.close();
+          continue;
+        }
+        if (channels.size() >= maxChannels) {
+          refused.incrementAndGet();
+          outer.close();
+          continue;
+        }
         outer.setTcpNoDelay(true);
         Socket inner = new Socket();
         try {
