--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -67,33 +67,9 @@
     // LOST: a task that lasts has nothing running for 3 s, from 6 s after its last run, and the 3 s and the 4 s before
     // them are calm: they begin stability_window_ms after the disruption.
     long calmMillis = silentMillis + STABILITY_MILLIS;
-    long longest = 0;
-    long broken = 0;
-    long now = System.currentTimeMillis();
-    for (int i = 0; i < LASTING_TASKS; i++) {
-      String task = " " + Deployment.jobName(1) + ".0.0." + i + " ";
-      long lastEnd = 0;
-      List<long[]> gaps = new ArrayList<>();
-      for (String line : system.lines()) {
-        long millis = Long.parseLong(line.substring(0, line.indexOf(' ')));
-        if (line.contains(" end" + task)) {
-          lastEnd = millis;
-        } else if (line.contains(" start" + task) && lastEnd > 0) {
-          gaps.add(new long[] {lastEnd, millis});
-          lastEnd = 0;
-        }
-      }
-      if (lastEnd > 0) {
-        gaps.add(new long[] {lastEnd, now});
-      }
-      for (long[] gap : gaps) {
-        longest = Math.max(longest, gap[1] - gap[0]);
-        long from = Math.max(gap[0] + 6_000, calmMillis + 4_000);
-        if (gap[1] >= from + 3_000) {
-          broken++;
-        }
-      }
-    }
+    long[] gaps = system.lastingGaps(Deployment.jobName(1), LASTING_TASKS, calmMillis + 4_000);
+    long broken = gaps[0];
+    long longest = gaps[1];
     String seen =
         broken + " of " + LASTING_TASKS + " lasting tasks had nothing running for 3 s, from 6 s after their last run and"
             + " in calm; the longest gap was " + longest + " ms";
