--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -26,7 +26,10 @@
  */
 final class Deployment implements AutoCloseable {
   static final int RULE_HELD = 0;
-  static final int RULE_BROKEN = 1;
+
+  /** Not 1, with which a Java program also ends after an exception; run.sh turns it into 1. */
+  static final int RULE_BROKEN = 11;
+
   static final int CANNOT_RUN = 2;
   private static final int FIRST_PORT = 12_000;
   private static final int LAST_PORT = 30_000;
@@ -58,6 +61,9 @@
     store = new Store(record, 4);
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     Thread.ofPlatform().daemon().start(this::endInTime);
+    Thread.currentThread()
+        .setUncaughtExceptionHandler(
+            (thread, failure) -> System.exit(verdict(CANNOT_RUN, failure.toString())));
   }
 
   /** Writes the manifest. Each route is a queue: its name, service, priority and maximum number of attempts. */
