Close all idle connections to an address at which a call has timed out

Cause: a call that timed out closed its own connection only, so that the next call took the next idle one, which was as silent. The calls to a worker that matter come one after the other (its polls), and each idle connection cost one of them its time-out, until the rest was closed for its age. The pool of links between entries did the same, so that three idle links to the owner were enough to replace it.

Change: a time-out closes all idle connections to its address, in the HTTP client (workers and store) and in the pool of links (entries).

--- a/entry/src/main/java/org/lavenderstage/entry/job/PeerLinkPool.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/PeerLinkPool.java
@@ -1,6 +1,7 @@
 package org.lavenderstage.entry.job;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -21,13 +22,21 @@
     this.timeoutMillis = timeoutMillis;
   }
 
-  /** Sends a query to an entry and returns the reply. A link that fails is not used again. */
+  /**
+   * Sends a query to an entry and returns the reply. A link that fails is not used again. A timeout
+   * also closes the idle links to the entry: they may be as silent, and each would cost another
+   * timeout.
+   */
   Optional<PeerMessage> ask(String address, PeerMessage query) throws IOException {
     PeerLink link = acquire(address);
     try {
       Optional<PeerMessage> reply = link.exchange(query);
       release(address, link);
       return reply;
+    } catch (SocketTimeoutException e) {
+      link.close();
+      closeIdle(idleLinks.get(address));
+      throw e;
     } catch (IOException e) {
       link.close();
       throw e;
@@ -53,13 +62,15 @@
     link.close();
   }
 
+  private static void closeIdle(Deque<PeerLink> links) {
+    synchronized (links) {
+      links.forEach(PeerLink::close);
+      links.clear();
+    }
+  }
+
   @Override
   public void close() {
-    for (Deque<PeerLink> links : idleLinks.values()) {
-      synchronized (links) {
-        links.forEach(PeerLink::close);
-        links.clear();
-      }
-    }
+    idleLinks.values().forEach(PeerLinkPool::closeIdle);
   }
 }
--- a/http/src/main/java/org/lavenderstage/http/ClientConnection.java
+++ b/http/src/main/java/org/lavenderstage/http/ClientConnection.java
@@ -84,10 +84,12 @@
     timeout =
         context
             .executor()
-            .schedule(
-                () -> fail("no response within " + exchange.timeoutMillis() + " ms"),
-                exchange.timeoutMillis(),
-                TimeUnit.MILLISECONDS);
+            .schedule(this::handleTimeout, exchange.timeoutMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void handleTimeout() {
+    client.closeIdleConnections(address);
+    current.ifPresent(exchange -> fail("no response within " + exchange.timeoutMillis() + " ms"));
   }
 
   @Override
--- a/http/src/main/java/org/lavenderstage/http/Http1Client.java
+++ b/http/src/main/java/org/lavenderstage/http/Http1Client.java
@@ -25,7 +25,9 @@
 
 /**
  * HTTP/1.1 client that keeps connections open between calls. Each connection carries one call at a
- * time; a connection whose call failed or timed out is closed. All work is done by one event loop.
+ * time; a connection whose call failed or timed out is closed. A timeout also closes the idle
+ * connections to the same address: they may be as silent, and each would cost another timeout. All
+ * work is done by one event loop.
  */
 public final class Http1Client implements AutoCloseable {
   private static final int MAX_PORT = 65_535;
@@ -77,7 +79,7 @@
     long intervalMillis = Math.max(1, idleTimeoutMillis / CHECKS_PER_IDLE_TIMEOUT);
     idleCheck =
         loop.scheduleWithFixedDelay(
-            this::closeIdleConnections, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+            this::closeExpiredConnections, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -202,7 +204,15 @@
     }
   }
 
-  private void closeIdleConnections() {
+  /** Closes the idle connections to an address at which a call has timed out. */
+  void closeIdleConnections(String address) {
+    Deque<ClientConnection> idle = idleConnections.remove(address);
+    if (idle != null) {
+      idle.forEach(ClientConnection::close);
+    }
+  }
+
+  private void closeExpiredConnections() {
     idleConnections.values().stream()
         .flatMap(Deque::stream)
         .filter(connection -> connection.idleMillis() >= idleTimeoutMillis)
--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -125,6 +125,35 @@
     assertArrayEquals("next".getBytes(UTF_8), next.get(10, TimeUnit.SECONDS).body());
   }
 
+  /** Idle connections that had all gone silent cost each call after the other its time-out. */
+  @Test
+  void onlyOneCallTimesOutAfterAllIdleConnectionsToItsAddressHaveGoneSilent() throws Exception {
+    int connections = 5;
+    try (ScriptedServer scripted =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
+      List<CompletableFuture<Http1Response>> calls = new CopyOnWriteArrayList<>();
+      CompletableFuture.runAsync(
+              () -> {
+                for (int i = 0; i < connections; i++) {
+                  calls.add(client.send(scripted.address(), Http1Request.get("/"), TIMEOUT_MILLIS));
+                }
+              },
+              loops)
+          .get(10, TimeUnit.SECONDS);
+      for (CompletableFuture<Http1Response> call : calls) {
+        assertEquals(200, call.get(10, TimeUnit.SECONDS).status());
+      }
+      assertEquals(connections, scripted.connections());
+      scripted.silenceOpenConnections();
+      CompletableFuture<Http1Response> silent =
+          client.send(scripted.address(), Http1Request.get("/"), 100);
+      assertThrows(ExecutionException.class, () -> silent.get(10, TimeUnit.SECONDS));
+      CompletableFuture<Http1Response> next =
+          client.send(scripted.address(), Http1Request.get("/"), 1_000);
+      assertEquals(200, next.get(10, TimeUnit.SECONDS).status());
+    }
+  }
+
   /** A process that had been paused for seconds acted on a permission that had run out. */
   @Test
   void aCallThatWaitedWhileTheProcessWasPausedIsNotSent() throws Exception {
@@ -322,6 +351,7 @@
   private static final class ScriptedServer implements AutoCloseable {
     private final ServerSocket socket = new ServerSocket(0, 10, InetAddress.getByName(LOOPBACK));
     private final List<Socket> accepted = new ArrayList<>();
+    private final List<Socket> silent = new ArrayList<>();
     private final byte[] response;
     private final boolean cut;
 
@@ -343,6 +373,15 @@
       return accepted.size();
     }
 
+    /** Leaves all further requests on the connections that are open now unanswered. */
+    synchronized void silenceOpenConnections() {
+      silent.addAll(accepted);
+    }
+
+    private synchronized boolean isSilent(Socket connection) {
+      return silent.contains(connection);
+    }
+
     private synchronized void add(Socket connection) {
       accepted.add(connection);
     }
@@ -364,7 +403,7 @@
         BufferedReader in =
             new BufferedReader(new InputStreamReader(connection.getInputStream(), UTF_8));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
-          if (line.isEmpty()) {
+          if (line.isEmpty() && !isSilent(connection)) {
             connection.getOutputStream().write(response);
             if (cut) {
               return;
