Count a job as begun only once a task of it was started

Now a job has begun once a worker has accepted a start of it or has reported a run or an end. StartRejectionTest failed before: expected 1 waiting job, found 0.

--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -327,7 +327,6 @@
     boolean superseded = ended.attempt() < task.get().lastAttempt() && !task.get().runs().isEmpty();
     task.get().recordAttempt(ended.attempt());
     recordBegun(task.get());
-    task.get().step().job().markBegun();
     boolean alwaysCounts = ended.kind() == EndKind.FAILED || task.get().step().spec().speculative();
     if (superseded && !alwaysCounts) {
       return;
@@ -421,6 +420,7 @@
 
   /** Records that a task has begun, and that this has to be stored for a later owner. */
   private void recordBegun(Task task) {
+    task.step().job().markBegun();
     if (task.markBegun()) {
       jobs.markProgressChanged(task.step().job());
     }
@@ -429,7 +429,6 @@
   void track(Worker worker, Run run) {
     reserve(worker, run);
     awaitingOrder.add(run);
-    run.task().step().job().markBegun();
   }
 
   /** Allocates the resources of a run, maybe not ordered yet; {@link #release} frees them. */
--- a/core/src/test/java/org/lavenderstage/core/pool/StartRejectionTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/StartRejectionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.JobState;
 
 /** A rejection of one copy of a start says nothing about the earlier copies. */
 class StartRejectionTest {
@@ -97,4 +98,19 @@
     assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
     assertEquals(JobPhase.COMPLETED, job.storedPhase());
   }
+
+  /** Regression: a job counted as begun as soon as the start of a task was decided. */
+  @Test
+  void aJobWhoseStartsAreAllRejectedCountsAsWaiting() {
+    PoolSimulation simulation = new PoolSimulation(1, 2);
+    simulation.run(200);
+    simulation.workers.forEach(worker -> worker.unhealthyUntil = simulation.now + 6_000);
+    Job job = simulation.submit(List.of(StepBuilder.step(2, 2_000, 500)), 0);
+    simulation.run(5_000);
+    assertEquals(1, simulation.owner.waitingCount("queue0"));
+    assertEquals(JobState.QUEUED, JobState.of(job));
+    simulation.run(4_000);
+    assertEquals(0, simulation.owner.waitingCount("queue0"));
+    assertEquals(JobState.COMPLETED, JobState.of(job));
+  }
 }
