Preempt no long-running tasks

Cause: preemption took any run of a lower priority with checkpoints. Interrupted long-running tasks are placed before urgent ones, so these took the capacity back and the urgent task did not run all the same.

PreemptionTest.noLongRunningTaskIsPreempted failed before.

--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -369,6 +369,10 @@
     }
   }
 
+  /**
+   * Returns the runs to stop so that a task fits on a worker. Long-running tasks are not among
+   * them: once interrupted they are placed before urgent ones, and would take the capacity back.
+   */
   private static List<Run> victims(Worker worker, Task task) {
     int priority = task.step().job().rules().priority();
     List<Run> candidates = new ArrayList<>();
@@ -378,6 +382,7 @@
         if (run.state() == Run.State.RUNNING
             && run.task().step().job().rules().priority() > priority
             && spec.checkpointing()
+            && !spec.lasting()
             && !spec.gang()) {
           candidates.add(run);
         }
