Limit the connections to an address

Cause: the HTTP client opened a connection for each call that found no idle one, so that a burst of starts took all of them, and kept each for 20 s.

Change: at most 32 connections to an address, of which at most 8 are kept when idle; further calls wait for one.

--- a/http/src/main/java/org/lavenderstage/http/ClientConnection.java
+++ b/http/src/main/java/org/lavenderstage/http/ClientConnection.java
@@ -42,6 +42,7 @@
   private int status;
   private boolean informational;
   private boolean keptAlive;
+  private boolean closed;
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
   ClientConnection(Http1Client client, String address) {
@@ -162,8 +163,12 @@
   }
 
   void close() {
-    client.remove(this);
+    if (closed) {
+      return;
+    }
+    closed = true;
     var unused = context.close();
+    client.remove(this);
   }
 
   @Override
--- a/http/src/main/java/org/lavenderstage/http/Http1Client.java
+++ b/http/src/main/java/org/lavenderstage/http/Http1Client.java
@@ -15,10 +15,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -26,8 +26,9 @@
 /**
  * HTTP/1.1 client that keeps connections open between calls. Each connection carries one call at a
  * time; a connection whose call failed or timed out is closed. A timeout also closes the idle
- * connections to the same address: they may be as silent, and each would cost another timeout. All
- * work is done by one event loop.
+ * connections to the same address: they may be as silent, and each would cost another timeout. The
+ * number of connections to an address is limited; further calls wait. All work is done by one event
+ * loop.
  */
 public final class Http1Client implements AutoCloseable {
   private static final int MAX_PORT = 65_535;
@@ -40,8 +41,8 @@
   private final long sendTimeoutMillis;
   private final long idleTimeoutMillis;
 
-  /** Idle connections by address, the most recently used first. Used only by the event loop. */
-  private final Map<String, Deque<ClientConnection>> idleConnections = new HashMap<>();
+  /** The connections by address. Used only by the event loop. */
+  private final Map<String, ConnectionPool> pools = new HashMap<>();
 
   private final ScheduledFuture<?> idleCheck;
   private boolean closed;
@@ -142,16 +143,24 @@
     if (isOutdated(exchange)) {
       return;
     }
-    Deque<ClientConnection> idle = idleConnections.get(exchange.address());
-    ClientConnection connection = idle == null ? null : idle.pollFirst();
-    if (connection != null) {
-      connection.send(exchange);
-      return;
+    ConnectionPool pool =
+        pools.computeIfAbsent(exchange.address(), address -> new ConnectionPool());
+    Optional<ClientConnection> idle = pool.takeIdle();
+    if (idle.isPresent()) {
+      idle.get().send(exchange);
+    } else if (pool.reserve()) {
+      connect(exchange);
+    } else {
+      pool.await(exchange);
     }
+  }
+
+  private void connect(Exchange exchange) {
     InetSocketAddress address;
     try {
       address = parse(exchange.address());
     } catch (IOException e) {
+      recordClosed(exchange.address());
       exchange.response().completeExceptionally(e);
       return;
     }
@@ -163,6 +172,7 @@
 
   private void connected(Exchange exchange, ChannelFuture result) {
     if (!result.isSuccess()) {
+      recordClosed(exchange.address());
       exchange.response().completeExceptionally(result.cause());
       return;
     }
@@ -185,41 +195,57 @@
     return false;
   }
 
-  /** Keeps a connection for the next call to the same address. */
+  /** Uses a connection for a call that waits, or keeps it for the next one to the same address. */
   void release(ClientConnection connection) {
-    if (closed) {
+    ConnectionPool pool = pools.get(connection.address());
+    Optional<Exchange> next = closed ? Optional.empty() : nextWaiting(pool);
+    if (next.isPresent()) {
+      connection.send(next.get());
+    } else if (closed || !pool.keepIdle(connection)) {
       connection.close();
-      return;
     }
-    idleConnections
-        .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
-        .addFirst(connection);
   }
 
   /** Removes a connection that was closed. */
   void remove(ClientConnection connection) {
-    Deque<ClientConnection> idle = idleConnections.get(connection.address());
-    if (idle != null && idle.remove(connection) && idle.isEmpty()) {
-      idleConnections.remove(connection.address());
+    pools.get(connection.address()).removeIdle(connection);
+    recordClosed(connection.address());
+  }
+
+  /** Records that a connection was closed or could not be opened, and uses its place. */
+  private void recordClosed(String address) {
+    ConnectionPool pool = pools.get(address);
+    pool.recordClosed();
+    nextWaiting(pool).ifPresent(this::start);
+    if (pool.isUnused()) {
+      pools.remove(address, pool);
+    }
+  }
+
+  /** Takes the next waiting call that is not outdated; fails those that are. */
+  private Optional<Exchange> nextWaiting(ConnectionPool pool) {
+    Optional<Exchange> next = pool.takeWaiting();
+    while (next.isPresent() && isOutdated(next.get())) {
+      next = pool.takeWaiting();
     }
+    return next;
   }
 
   /** Closes the idle connections to an address at which a call has timed out. */
   void closeIdleConnections(String address) {
-    Deque<ClientConnection> idle = idleConnections.remove(address);
-    if (idle != null) {
-      idle.forEach(ClientConnection::close);
-    }
+    pools.get(address).idle().forEach(ClientConnection::close);
   }
 
   private void closeExpiredConnections() {
-    idleConnections.values().stream()
-        .flatMap(Deque::stream)
+    allIdle().stream()
         .filter(connection -> connection.idleMillis() >= idleTimeoutMillis)
-        .toList()
         .forEach(ClientConnection::close);
   }
 
+  private List<ClientConnection> allIdle() {
+    return pools.values().stream().flatMap(pool -> pool.idle().stream()).toList();
+  }
+
   /** Parses an IPv4 address and port; names are not looked up. */
   private static InetSocketAddress parse(String address) throws IOException {
     int colon = address.lastIndexOf(':');
@@ -244,10 +270,7 @@
       loop.execute(
           () -> {
             closed = true;
-            idleConnections.values().stream()
-                .flatMap(Deque::stream)
-                .toList()
-                .forEach(ClientConnection::close);
+            allIdle().forEach(ClientConnection::close);
           });
     } catch (RejectedExecutionException e) {
       // the event loop has ended, and its connections with it
--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -131,18 +131,7 @@
     int connections = 5;
     try (ScriptedServer scripted =
         new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
-      List<CompletableFuture<Http1Response>> calls = new CopyOnWriteArrayList<>();
-      CompletableFuture.runAsync(
-              () -> {
-                for (int i = 0; i < connections; i++) {
-                  calls.add(client.send(scripted.address(), Http1Request.get("/"), TIMEOUT_MILLIS));
-                }
-              },
-              loops)
-          .get(10, TimeUnit.SECONDS);
-      for (CompletableFuture<Http1Response> call : calls) {
-        assertEquals(200, call.get(10, TimeUnit.SECONDS).status());
-      }
+      sendAtOnce(scripted.address(), connections);
       assertEquals(connections, scripted.connections());
       scripted.silenceOpenConnections();
       CompletableFuture<Http1Response> silent =
@@ -154,6 +143,57 @@
     }
   }
 
+  /** Makes all calls before the first connection is open, and waits for the responses. */
+  private void sendAtOnce(String address, int count) throws Exception {
+    List<CompletableFuture<Http1Response>> calls = new CopyOnWriteArrayList<>();
+    CompletableFuture.runAsync(
+            () -> {
+              for (int i = 0; i < count; i++) {
+                calls.add(client.send(address, Http1Request.get("/"), TIMEOUT_MILLIS));
+              }
+            },
+            loops)
+        .get(10, TimeUnit.SECONDS);
+    for (CompletableFuture<Http1Response> call : calls) {
+      assertEquals(200, call.get(10, TimeUnit.SECONDS).status());
+    }
+  }
+
+  /** A former owner of the jobs kept all connections that its workers accept, for seconds. */
+  @Test
+  void aBurstOfCallsLeavesMostOfTheConnectionsToOtherClients() throws Exception {
+    int accepted = 64;
+    try (ScriptedServer scripted =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
+      sendAtOnce(scripted.address(), 2 * accepted);
+      assertTrue(scripted.connections() <= accepted / 2, "opened " + scripted.connections());
+      long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+      while (scripted.openConnections() > accepted / 8 && System.nanoTime() < deadlineNanos) {
+        Thread.sleep(1);
+      }
+      assertTrue(scripted.openConnections() <= accepted / 8, "open: " + scripted.openConnections());
+    }
+  }
+
+  /** A call that waits for a connection gets one when another call fails. */
+  @Test
+  void callsThatWaitForAConnectionAreSentWhenOthersHaveTimedOut() throws Exception {
+    int calls = 100;
+    List<CompletableFuture<Http1Response>> silent = new ArrayList<>();
+    try (ScriptedServer scripted =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
+      scripted.silenceAll(true);
+      for (int i = 0; i < calls; i++) {
+        silent.add(client.send(scripted.address(), Http1Request.get("/"), 100));
+      }
+      for (CompletableFuture<Http1Response> call : silent) {
+        assertThrows(ExecutionException.class, () -> call.get(10, TimeUnit.SECONDS));
+      }
+      scripted.silenceAll(false);
+      assertEquals(200, send(scripted.address(), Http1Request.get("/")).status());
+    }
+  }
+
   /** A process that had been paused for seconds acted on a permission that had run out. */
   @Test
   void aCallThatWaitedWhileTheProcessWasPausedIsNotSent() throws Exception {
@@ -352,6 +392,7 @@
     private final ServerSocket socket = new ServerSocket(0, 10, InetAddress.getByName(LOOPBACK));
     private final List<Socket> accepted = new ArrayList<>();
     private final List<Socket> silent = new ArrayList<>();
+    private boolean allSilent;
     private final byte[] response;
     private final boolean cut;
 
@@ -378,8 +419,17 @@
       silent.addAll(accepted);
     }
 
+    /** Leaves the further requests on all connections unanswered, or no longer does. */
+    synchronized void silenceAll(boolean silenced) {
+      allSilent = silenced;
+    }
+
     private synchronized boolean isSilent(Socket connection) {
-      return silent.contains(connection);
+      return allSilent || silent.contains(connection);
+    }
+
+    synchronized long openConnections() {
+      return accepted.stream().filter(connection -> !connection.isClosed()).count();
     }
 
     private synchronized void add(Socket connection) {
