Store long jobs compressed and long batches in several appends

Cause: the job's record had 290,065 bytes, more than the store accepts. Its append was repeated for ever, and all other changes waited behind it. The limits of the store were not read.

Change: records of 200 KiB or more are compressed, a submission whose record is too long all the same is rejected at once, and a batch that is longer than one append may be goes into several.

--- a/clients/src/main/java/org/lavenderstage/clients/KeyedLog.java
+++ b/clients/src/main/java/org/lavenderstage/clients/KeyedLog.java
@@ -20,6 +20,15 @@
    */
   CompletableFuture<Append> append(LogTopic topic, OptionalLong at, List<KeyedRecord> records);
 
+  /**
+   * Returns how many bytes of keys and values one append may contain.
+   *
+   * @return number of bytes
+   */
+  default int maxAppendBytes() {
+    return Integer.MAX_VALUE;
+  }
+
   /**
    * Reads records in the order of their offsets.
    *
--- a/clients/src/main/java/org/lavenderstage/clients/KeyedRecord.java
+++ b/clients/src/main/java/org/lavenderstage/clients/KeyedRecord.java
@@ -1,5 +1,6 @@
 package org.lavenderstage.clients;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -8,4 +9,18 @@
  * @param key key of the record
  * @param value value of the record, empty if the record removes the key
  */
-public record KeyedRecord(String key, Optional<byte[]> value) {}
+public record KeyedRecord(String key, Optional<byte[]> value) {
+  /** Length of the fields that precede the key: the record's own length and that of the key. */
+  private static final int HEADER_BYTES = 5;
+
+  /**
+   * Returns the length of the record in the log.
+   *
+   * @return number of bytes
+   */
+  public int storedBytes() {
+    return HEADER_BYTES
+        + key.getBytes(StandardCharsets.UTF_8).length
+        + value.map(bytes -> bytes.length).orElse(0);
+  }
+}
--- a/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/FrontServer.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.lavenderstage.clients.KeyedRecord;
 import org.lavenderstage.core.job.JobAnswer;
 import org.lavenderstage.core.job.JobRecord;
 import org.lavenderstage.core.job.JobVerb;
 import org.lavenderstage.core.job.QueueRoute;
 import org.lavenderstage.core.job.QueueTable;
+import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.entry.admin.EntryMetrics;
 import org.lavenderstage.http.Http1Handler;
 import org.lavenderstage.http.Http1Request;
@@ -23,6 +25,7 @@
 import org.lavenderstage.platform.JobDecoder;
 import org.lavenderstage.platform.NodeSettings;
 import org.lavenderstage.wire.codec.MalformedMessageException;
+import org.lavenderstage.wire.codec.StoredCodec;
 import org.lavenderstage.wire.event.EventLog;
 import org.lavenderstage.wire.event.LogEvent;
 
@@ -31,6 +34,9 @@
   /** Maximum size of a request body in bytes; one of the operator's limits. */
   private static final int MAX_BODY_BYTES = 262_144;
 
+  /** Largest ratio of the length of a job's record to that of its submission, roughly. */
+  private static final int MAX_RECORD_TO_BODY_RATIO = 16;
+
   /** Idle time after which a connection is closed, in ms; one of the operator's limits. */
   private static final long IDLE_TIMEOUT_MILLIS = 15_000;
 
@@ -150,6 +156,11 @@
       } catch (MalformedMessageException e) {
         return CompletableFuture.completedFuture(new JobAnswer.Malformed(e.getMessage()));
       }
+      if (isTooLong(
+          submission.get(), request.body().length, settings.storeLimits().recordBytes())) {
+        return CompletableFuture.completedFuture(
+            new JobAnswer.Malformed("the job is too long to be stored"));
+      }
     }
     JobCall call =
         new JobCall(
@@ -165,6 +176,20 @@
             (answer, failure) -> recordAnswer(call, answer, table.get(), arrivedAtMillis));
   }
 
+  /**
+   * Returns whether a job does not fit into one record of the store.
+   *
+   * @param bodyBytes length of the request that submits the job
+   * @param maxRecordBytes length of the longest record
+   */
+  static boolean isTooLong(JobRecord job, int bodyBytes, int maxRecordBytes) {
+    // Most jobs are short, and encoding them twice would cost more than the check is worth.
+    return bodyBytes >= maxRecordBytes / MAX_RECORD_TO_BODY_RATIO
+        && new KeyedRecord(StoredChange.put(job).key(), Optional.of(StoredCodec.encode(job)))
+                .storedBytes()
+            > maxRecordBytes;
+  }
+
   /** Returns how long a caller with the given time to its deadline waits at most for an answer. */
   static long replyTimeoutMillis(long remainingMillis) {
     double minMillis = Math.min(MIN_REPLY_MILLIS, remainingMillis * MAX_REPLY_FRACTION);
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobEntry.java
@@ -66,7 +66,7 @@
     this.settings = settings;
     entry = new Incarnation(settings.vm(), Clocks.wallMillis()).toString();
     String peerAddress = settings.ip() + ":" + settings.peerPort();
-    store = new PlatformStore(http, settings.storeAddress());
+    store = new PlatformStore(http, settings.storeAddress(), settings.storeLimits());
     StoreMonitor storeMonitor = new StoreMonitor(store, Clocks::monotonicMillis);
     configuration = new ConfigurationWatcher(storeMonitor);
     members = new Members(storeMonitor, entry, peerAddress, settings.cpuMillis());
--- a/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/JobJournal.java
@@ -1,7 +1,9 @@
 package org.lavenderstage.entry.job;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -17,9 +19,11 @@
 import org.lavenderstage.wire.event.LogEvent;
 
 /**
- * Stores the owner's changes, one append at a time. Each append specifies the offset at which the
- * topic must end. Therefore it takes effect only once, however often it is repeated and however
- * late a copy arrives, and never after another entry's claim. Used only by the owner's thread.
+ * Stores the owner's changes, one append at a time. A batch that is too long for one append is
+ * stored by several; it counts as stored after the last one. Each append specifies the offset at
+ * which the topic must end. Therefore it takes effect only once, however often it is repeated and
+ * however late a copy arrives, and never after another entry's claim. Used only by the owner's
+ * thread.
  */
 final class JobJournal {
   /** Pause before an append is repeated, in milliseconds; several round trips. */
@@ -30,6 +34,7 @@
   private long endOffset;
   private Optional<JournalBatch> batch = Optional.empty();
   private List<KeyedRecord> records = List.of();
+  private final Deque<KeyedRecord> furtherRecords = new ArrayDeque<>();
   private boolean appendInFlight;
   private long lastCall;
   private boolean endReadInFlight;
@@ -68,13 +73,27 @@
   void startAppend(JournalBatch next, long nowMillis) {
     batch = Optional.of(next);
     startedAtMillis = nowMillis;
-    records = new ArrayList<>(next.changes().size());
     for (StoredChange change : next.changes()) {
-      records.add(new KeyedRecord(change.key(), change.record().map(StoredCodec::encode)));
+      furtherRecords.add(new KeyedRecord(change.key(), change.record().map(StoredCodec::encode)));
     }
+    records = takeNextRecords();
     sendAppend(nowMillis);
   }
 
+  /** Takes as many of the records that are not appended yet as one append may contain. */
+  private List<KeyedRecord> takeNextRecords() {
+    List<KeyedRecord> taken = new ArrayList<>(furtherRecords.size());
+    long bytes = 0;
+    while (!furtherRecords.isEmpty()) {
+      bytes += furtherRecords.peekFirst().storedBytes();
+      if (!taken.isEmpty() && bytes > log.maxAppendBytes()) {
+        break;
+      }
+      taken.add(furtherRecords.removeFirst());
+    }
+    return taken;
+  }
+
   private void sendAppend(long nowMillis) {
     appendInFlight = true;
     long call = ++lastCall;
@@ -144,6 +163,11 @@
     }
     endOffset = newEndOffset;
     confirmedMillis = Math.max(confirmedMillis, startedAtMillis);
+    if (!furtherRecords.isEmpty()) {
+      records = takeNextRecords();
+      sendAppend(nowMillis);
+      return Optional.empty();
+    }
     Optional<JournalBatch> storedBatch = batch;
     batch = Optional.empty();
     records = List.of();
--- a/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/RehearsalCommand.java
@@ -47,6 +47,9 @@
   private static final NodeSettings.Bounds BOUNDS =
       new NodeSettings.Bounds(6_000, 300, 6_000, 120_000);
 
+  private static final NodeSettings.StoreLimits STORE_LIMITS =
+      new NodeSettings.StoreLimits(MAX_BODY_BYTES, MAX_BODY_BYTES);
+
   private static final int CPU_MILLIS = 1_000;
 
   private RehearsalCommand() {}
@@ -89,6 +92,7 @@
             ports.get(3),
             CPU_MILLIS,
             LOOPBACK + ":" + storePort,
+            STORE_LIMITS,
             BOUNDS);
     try (JobEntry entry = new JobEntry(settings)) {
       entry.start();
--- a/entry/src/main/java/org/lavenderstage/entry/job/StoreMonitor.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/StoreMonitor.java
@@ -49,6 +49,11 @@
     return clock.getAsLong() - lastAnswerMillis;
   }
 
+  @Override
+  public int maxAppendBytes() {
+    return log.maxAppendBytes();
+  }
+
   @Override
   public CompletableFuture<Append> append(
       LogTopic topic, OptionalLong at, List<KeyedRecord> records) {
--- a/entry/src/test/java/org/lavenderstage/entry/job/InMemoryKeyedLog.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/InMemoryKeyedLog.java
@@ -44,6 +44,12 @@
   /** Whether the answers of appends that are carried out wait for {@link #deliverAppendAnswers}. */
   volatile boolean delayAppendAnswers;
 
+  /** Longest append that is accepted, in bytes. */
+  int maxAppendBytes = Integer.MAX_VALUE;
+
+  /** Number of records of each append that was carried out. */
+  final List<Integer> appendedCounts = new ArrayList<>();
+
   /** Whether all calls fail. */
   boolean down;
 
@@ -98,12 +104,21 @@
     answers.forEach(Runnable::run);
   }
 
-  private static Append apply(List<KeyedRecord> log, OptionalLong at, List<KeyedRecord> records) {
+  @Override
+  public int maxAppendBytes() {
+    return maxAppendBytes;
+  }
+
+  private Append apply(List<KeyedRecord> log, OptionalLong at, List<KeyedRecord> records) {
+    if (records.stream().mapToInt(KeyedRecord::storedBytes).sum() > maxAppendBytes) {
+      return new Append.Refused("too long");
+    }
     if (at.isPresent() && at.getAsLong() != log.size()) {
       return new Append.EndMoved(log.size());
     }
     long offset = log.size();
     log.addAll(records);
+    appendedCounts.add(records.size());
     return new Append.Stored(offset, log.size());
   }
 
--- a/entry/src/test/java/org/lavenderstage/entry/job/JobJournalTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/JobJournalTest.java
@@ -110,4 +110,24 @@
     assertTrue(journal.isDeposed());
     assertEquals(CLAIMED_AT_MILLIS, journal.confirmedMillis());
   }
+
+  /** Regression: all changes of a batch went into one append, however long the records were. */
+  @Test
+  void batchThatIsTooLongForOneAppendIsStoredBySeveral() {
+    log.maxAppendBytes = 3 * new KeyedRecord("a", Optional.empty()).storedBytes();
+    journal.startAppend(batch("a", "b", "c", "d", "e", "f", "g"), APPENDED_AT_MILLIS);
+    assertTrue(handleNextEvent().isEmpty());
+    log.appendAnswersToLose = 1;
+    assertTrue(handleNextEvent().isEmpty());
+    assertTrue(handleNextEvent().isEmpty(), "the last append was not answered");
+    assertTrue(journal.isBusy());
+    journal.retryIfDue(HANDLED_AT_MILLIS + 1_000);
+    Optional<JournalBatch> stored = Optional.empty();
+    while (!events.isEmpty()) {
+      stored = handleNextEvent();
+    }
+    assertEquals(7, stored.orElseThrow().changes().size());
+    assertEquals(List.of(3, 3, 1), log.appendedCounts);
+    assertFalse(journal.isBusy());
+  }
 }
--- a/wire/src/main/java/org/lavenderstage/wire/codec/StoredCodec.java
+++ b/wire/src/main/java/org/lavenderstage/wire/codec/StoredCodec.java
@@ -2,14 +2,34 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 import org.lavenderstage.core.job.StoredRecord;
 
-/** Encodes and decodes the records that entries keep in the platform's store as MessagePack. */
+/**
+ * Encodes and decodes the records that entries keep in the platform's store as MessagePack. Records
+ * that are longer than the store may accept are compressed; a job of many steps mostly repeats the
+ * names of their fields.
+ */
 public final class StoredCodec {
   private static final ObjectMapper MAPPER = TaggedMapper.of(StoredRecord.class);
 
+  /**
+   * Length from which on a record is compressed, in bytes; below the longest record of the
+   * platform's store. Versions that do not know compressed records could not store these.
+   */
+  private static final int MIN_COMPRESSED_BYTES = 200 * 1_024;
+
+  /** First byte of a compressed record; the only one that no MessagePack value begins with. */
+  private static final byte COMPRESSED = (byte) 0xc1;
+
+  /** Longest content of a compressed record that is decoded, in bytes. */
+  private static final int MAX_CONTENT_BYTES = 64 * 1_024 * 1_024;
+
   private StoredCodec() {}
 
   /**
@@ -20,7 +40,8 @@
    */
   public static byte[] encode(StoredRecord record) {
     try {
-      return MAPPER.writerFor(StoredRecord.class).writeValueAsBytes(record);
+      byte[] encoded = MAPPER.writerFor(StoredRecord.class).writeValueAsBytes(record);
+      return encoded.length < MIN_COMPRESSED_BYTES ? encoded : compress(encoded);
     } catch (JsonProcessingException e) {
       throw new IllegalArgumentException("record cannot be encoded: " + record.getClass(), e);
     }
@@ -35,9 +56,32 @@
    */
   public static Optional<StoredRecord> decode(byte[] bytes) throws MalformedMessageException {
     try {
-      return Optional.ofNullable(MAPPER.readValue(bytes, StoredRecord.class));
+      byte[] encoded = bytes.length > 0 && bytes[0] == COMPRESSED ? decompress(bytes) : bytes;
+      return Optional.ofNullable(MAPPER.readValue(encoded, StoredRecord.class));
     } catch (IOException e) {
       throw new MalformedMessageException("expected a stored record", e);
     }
   }
+
+  private static byte[] compress(byte[] encoded) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    bytes.write(COMPRESSED);
+    try (DeflaterOutputStream out = new DeflaterOutputStream(bytes)) {
+      out.write(encoded);
+    } catch (IOException e) {
+      throw new IllegalStateException("a byte array cannot be written", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static byte[] decompress(byte[] bytes) throws IOException {
+    try (InflaterInputStream in =
+        new InflaterInputStream(new ByteArrayInputStream(bytes, 1, bytes.length - 1))) {
+      byte[] encoded = in.readNBytes(MAX_CONTENT_BYTES);
+      if (in.read() >= 0) {
+        throw new IOException("record longer than " + MAX_CONTENT_BYTES + " bytes");
+      }
+      return encoded;
+    }
+  }
 }
