Start best-effort jobs without a run at reduced speed while most capacity is free

Cause: a best-effort task is placed only where its estimated interference fits, and estimates are corrected only where such tasks run. After crashes serving tasks of several images share each worker; one high estimate closes it, and nothing runs there any more that could correct it.

Change: a best-effort job without a run for a second gets one at a fifth of full speed, on the worker where it interferes least, while less than half of the service's processors are allocated. The limit is ordered as soon as the start is accepted, and the controller lowers it further as before.

--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -14,6 +14,8 @@
     DOUBTFUL
   }
 
+  private static final int FULL_SPEED_PERCENT = 100;
+
   /** Utilization assumed for a serving task before its first report: half of its capacity. */
   public static final double ASSUMED_UTILIZATION = 0.5;
 
@@ -30,6 +32,7 @@
   private int speedLimitPercent = 100;
   private long speedLimitSinceMillis;
   private boolean speedLimitUncertain;
+  private int maxSpeedPercent = FULL_SPEED_PERCENT;
   private int unansweredStarts;
   private long startLeaseUntilMillis;
   private long startLeaseIncarnation;
@@ -266,6 +269,37 @@
     speedLimitUncertain = false;
   }
 
+  /**
+   * Sets the highest speed limit of a best-effort run that would interfere too much at full speed.
+   *
+   * @param percent percent of full speed
+   * @param monotonicMillis monotonic time in milliseconds
+   */
+  public void startAtReducedSpeed(int percent, long monotonicMillis) {
+    setSpeedLimit(percent, monotonicMillis);
+    // Workers start all tasks at full speed.
+    speedLimitUncertain = true;
+    maxSpeedPercent = percent;
+  }
+
+  /**
+   * Returns whether the run was started although it would interfere too much at full speed.
+   *
+   * @return whether it was started at reduced speed
+   */
+  public boolean isStartedAtReducedSpeed() {
+    return maxSpeedPercent < FULL_SPEED_PERCENT;
+  }
+
+  /**
+   * Returns the highest speed limit that the run may get.
+   *
+   * @return percent of full speed
+   */
+  public int maxSpeedPercent() {
+    return maxSpeedPercent;
+  }
+
   /** Records that the worker may apply another speed limit than the one ordered last. */
   public void markSpeedLimitUncertain() {
     speedLimitUncertain = true;
--- a/core/src/main/java/org/lavenderstage/core/pool/InterferenceController.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/InterferenceController.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.WeakHashMap;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
@@ -30,6 +31,12 @@
   /** Time for which a best-effort task is paused before it is stopped, in milliseconds. */
   private static final long STOP_DELAY_MILLIS = 1_500;
 
+  /**
+   * The same for a task that was started at reduced speed because no worker suits it better, in
+   * milliseconds; another worker may suit it by then.
+   */
+  private static final long REDUCED_SPEED_STOP_DELAY_MILLIS = 6_000;
+
   /**
    * Time for which a serving task may exceed its target before all best-effort tasks of the worker
    * are paused, in milliseconds. Including the reports before and after, this is well within the
@@ -74,7 +81,7 @@
       if (speedPercent == run.speedLimitPercent()
           && speedPercent < SPEED_STEP_PERCENT
           && run.task().step().spec().checkpointing()
-          && nowMillis - run.speedLimitSinceMillis() > STOP_DELAY_MILLIS) {
+          && nowMillis - run.speedLimitSinceMillis() > stopDelayMillis(run)) {
         runs.stop(run, "paused for too long beside serving tasks", nowMillis);
       } else if (speedPercent != run.speedLimitPercent()
           || run.isSpeedLimitUncertain()
@@ -86,6 +93,19 @@
     return orders;
   }
 
+  private static long stopDelayMillis(Run run) {
+    return run.isStartedAtReducedSpeed() ? REDUCED_SPEED_STOP_DELAY_MILLIS : STOP_DELAY_MILLIS;
+  }
+
+  /** Returns the order that applies the speed limit of a run which has just been started. */
+  static Optional<Order> initialSpeedLimit(Worker worker, Run run) {
+    return run.isStartedAtReducedSpeed()
+            && run.state() == Run.State.RUNNING
+            && run.isSpeedLimitUncertain()
+        ? Optional.of(new Order.SetSpeedLimit(worker, run, run.speedLimitPercent()))
+        : Optional.empty();
+  }
+
   /**
    * Returns whether a run uses more processors than its speed limit allows, for example because an
    * older order was carried out late.
@@ -113,7 +133,7 @@
     Map<Run, Double> speeds = new LinkedHashMap<>();
     for (Run run : workerRuns) {
       if (run.task().step().spec().filling() && run.state() == Run.State.RUNNING) {
-        speeds.put(run, 1.0);
+        speeds.put(run, run.maxSpeedPercent() / (double) FULL_PERCENT);
       }
     }
     for (Run run : workerRuns) {
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -217,7 +217,11 @@
       pacer.recordChange();
     }
     switch (sent) {
-      case Order.Start start -> workers.handleStartResult(start, result, nowMillis);
+      case Order.Start start -> {
+        workers.handleStartResult(start, result, nowMillis);
+        InterferenceController.initialSpeedLimit(start.worker(), start.run())
+            .ifPresent(readyOrders::add);
+      }
       case Order.Stop stop -> runs.handleStopResult(stop.worker(), stop.run(), result, nowMillis);
       case Order.Poll poll -> {
         workers.handlePollResult(poll, result, nowMillis, wallMillis, readyOrders);
--- a/core/src/main/java/org/lavenderstage/core/pool/JobWaitLog.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobWaitLog.java
@@ -38,6 +38,12 @@
     current.remove(job);
   }
 
+  /** Returns how long a job has waited in this and the previous rounds, in milliseconds. */
+  long waitedMillis(Job job, long nowMillis) {
+    Wait wait = current.getOrDefault(job, previous.get(job));
+    return wait == null ? 0 : nowMillis - wait.sinceMillis();
+  }
+
   /**
    * Records that a task could not be placed.
    *
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobStep;
@@ -40,6 +41,15 @@
    */
   private static final long RESERVATION_WAIT_MILLIS = 2_000;
 
+  /**
+   * Time after which a best-effort job without any run gets one at reduced speed, in milliseconds;
+   * well within the time for which a job may have no run beside free capacity.
+   */
+  private static final long REDUCED_SPEED_DELAY_MILLIS = 1_000;
+
+  /** Highest speed limit of such a run, in percent. */
+  private static final int REDUCED_SPEED_PERCENT = 20;
+
   /**
    * What a search for a worker depends on, except the estimate. Free capacity only shrinks within a
    * scheduling round, so the result for one task also holds for later tasks with an equal key whose
@@ -219,7 +229,7 @@
     SearchKey key = SearchKey.of(task, overdue);
     if (spec.estimateMillis() > longestPlaceableMillis.getOrDefault(key, Long.MAX_VALUE)) {
       waitLog.recordDeferred(task, rank, () -> selector.countFits(task), nowMillis);
-      return false;
+      return placeAtReducedSpeed(task, selector, nowMillis);
     }
     PlacementResult result = selector.search(task, overdue);
     if (result instanceof PlacementResult.Found found) {
@@ -240,10 +250,48 @@
         withheldUntil.put(WorkerSelector.Requirements.of(task), nowMillis + WITHHOLD_MILLIS);
       }
     }
+    if (placeAtReducedSpeed(task, selector, nowMillis)) {
+      return true;
+    }
     preemptFor(task, selector, nowMillis);
     return false;
   }
 
+  /**
+   * Places a best-effort task at reduced speed if its job has had no run for a while. Estimates of
+   * interference are corrected only where best-effort tasks run, so they must not keep a job from
+   * running at all; its speed is then set by what it causes.
+   */
+  private boolean placeAtReducedSpeed(Task task, WorkerSelector selector, long nowMillis) {
+    Job job = task.step().job();
+    if (!task.step().spec().filling()
+        || waitLog.waitedMillis(job, nowMillis) < REDUCED_SPEED_DELAY_MILLIS
+        || hasRun(job)
+        || !selector.isMostCapacityFree(task)) {
+      return false;
+    }
+    Optional<Worker> worker = selector.findForReducedSpeed(task);
+    if (worker.isEmpty()) {
+      return false;
+    }
+    Run run = startRun(task, worker.get(), nextAttempt(task), nowMillis);
+    run.startAtReducedSpeed(REDUCED_SPEED_PERCENT, nowMillis);
+    selector.invalidate(worker.get());
+    waitLog.recordPlaced(job);
+    return true;
+  }
+
+  private static boolean hasRun(Job job) {
+    for (JobStep step : job.openSteps()) {
+      for (Task task : step.tasks()) {
+        if (!task.runs().isEmpty()) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   /**
    * Starts all members of a gang or none. The members share one attempt number, which is used only
    * when all of them fit.
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -167,6 +167,34 @@
     return withheld ? new PlacementResult.Withheld() : new PlacementResult.Found(best);
   }
 
+  /**
+   * Returns whether less than half of the processors of a task's service are allocated; best-effort
+   * tasks allocate none.
+   */
+  boolean isMostCapacityFree(Task task) {
+    String service = task.step().job().rules().service();
+    long capacityCpuMillis = 0;
+    long freeCpuMillis = 0;
+    for (Worker worker : workers) {
+      if (worker.listing().filter(listing -> listing.service().equals(service)).isPresent()) {
+        capacityCpuMillis += worker.capacityCpuMillis();
+        freeCpuMillis += Math.max(0, worker.free().cpuMillis());
+      }
+    }
+    return 2 * freeCpuMillis > capacityCpuMillis;
+  }
+
+  /**
+   * Finds a worker on which a best-effort task at full speed would interfere too much: the one
+   * where it would interfere least.
+   */
+  Optional<Worker> findForReducedSpeed(Task task) {
+    return workers.stream()
+        .filter(worker -> fit(worker, task) == Fit.PRESSES)
+        .max(
+            Comparator.comparingDouble(worker -> remainingUtilization(task.step().spec(), worker)));
+  }
+
   /**
    * Finds a worker for an interrupted task that fits only where capacity is reserved for others.
    * One such worker is left to them. Of several, users count each as free, so a task must not wait
--- a/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LostWorkTest.java
@@ -405,9 +405,8 @@
     assertNoLongWait();
   }
 
-  /** An image that has interfered once is not placed again, although the target would be met. */
+  /** Regression: an image that had interfered once was not placed again, at whatever speed. */
   @Test
-  @Tag("known-red")
   void bestEffortJobRunsWhereServingTasksReserveAFifthOfEachWorker() {
     SimulatedInterference model = new SimulatedInterference(SEED, 0.48, 0, NEVER);
     model.setCoefficient("best-effort", "serving", 3);
