--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -377,7 +377,7 @@
             && !worker.isUnresponsive();
     if (run.state() == Run.State.STARTING && mayStart && remainingStarts > 0) {
       remainingStarts--;
-      long leaseUntilMillis = workers.grantLease(worker, nowMillis);
+      long leaseUntilMillis = workers.leases().grant(worker, nowMillis);
       run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
       orders.add(new Order.Start(worker, run, leaseUntilMillis));
     } else if (run.state() == Run.State.STOPPING) {
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -24,11 +24,6 @@
    */
   private static final int ATTEMPTS_PER_TERM = 1_000;
 
-  /**
-   * Time for preempted runs to stop before more are preempted for the same task, in milliseconds.
-   */
-  private static final long PREEMPTION_PAUSE_MILLIS = 1_000;
-
   /**
    * Time after an urgent task did not fit on any worker for which the last suitable worker is
    * withheld from long-running tasks, in milliseconds.
@@ -56,7 +51,7 @@
    * estimate is at least as long.
    */
   private record SearchKey(
-      WorkerSelector.Requirements requirements,
+      Requirements requirements,
       boolean bestEffort,
       int cpuMillis,
       boolean longRunning,
@@ -66,7 +61,7 @@
     static SearchKey of(Task task, boolean overdue) {
       StepSpec spec = task.step().spec();
       return new SearchKey(
-          WorkerSelector.Requirements.of(task),
+          Requirements.of(task),
           spec.filling(),
           spec.cpuMillis(),
           spec.lasting(),
@@ -83,13 +78,13 @@
   private final BestEffortInterference interference;
   private final DecisionLog log;
   private final int firstAttempt;
-  private final Map<WorkerSelector.Requirements, Long> withheldUntil = new HashMap<>();
+  private final Map<Requirements, Long> withheldUntil = new HashMap<>();
   private final DeferralLog deferralLog;
   private final JobWaitLog waitLog;
   private int rank;
   private boolean inheritancePending;
   private Set<String> unreportedTasks = Set.of();
-  private final Map<Task, Long> preemptionPauseUntil = new HashMap<>();
+  private final Preemption preemption;
 
   Placement(
       JobTable jobs,
@@ -105,6 +100,7 @@
     this.ranking = ranking;
     this.interference = interference;
     this.log = log;
+    this.preemption = new Preemption(workers, runs);
     this.deferralLog = new DeferralLog(log);
     this.waitLog = new JobWaitLog(log);
     this.firstAttempt = Math.toIntExact((term - 1) * ATTEMPTS_PER_TERM) + 1;
@@ -118,7 +114,7 @@
   void placeWaitingTasks(boolean anyMayRun, long nowMillis) {
     inheritancePending = anyMayRun;
     unreportedTasks = workers.unreportedRuns().listedTasks(nowMillis);
-    preemptionPauseUntil.values().removeIf(until -> until < nowMillis);
+    preemption.beginRound(nowMillis);
     deferralLog.beginRound();
     waitLog.beginRound();
     rank = 0;
@@ -247,13 +243,13 @@
     if (!spec.filling() && !spec.lasting()) {
       boolean willFit = selector.reserveFor(task);
       if (willFit && task.step().job().rules().priority() == 0) {
-        withheldUntil.put(WorkerSelector.Requirements.of(task), nowMillis + WITHHOLD_MILLIS);
+        withheldUntil.put(Requirements.of(task), nowMillis + WITHHOLD_MILLIS);
       }
     }
     if (placeAtReducedSpeed(task, selector, nowMillis)) {
       return true;
     }
-    preemptFor(task, selector, nowMillis);
+    preemption.preemptFor(task, selector, nowMillis);
     return false;
   }
 
@@ -267,7 +263,7 @@
     if (!task.step().spec().filling()
         || waitLog.waitedMillis(job, nowMillis) < REDUCED_SPEED_DELAY_MILLIS
         || hasRun(job)
-        || !selector.isMostCapacityFree(task)) {
+        || !isMostCapacityFree(job.rules().service())) {
       return false;
     }
     Optional<Worker> worker = selector.findForReducedSpeed(task);
@@ -281,6 +277,22 @@
     return true;
   }
 
+  /**
+   * Returns whether less than half of the processors of a service are allocated; best-effort tasks
+   * allocate none.
+   */
+  private boolean isMostCapacityFree(String service) {
+    long capacityCpuMillis = 0;
+    long freeCpuMillis = 0;
+    for (Worker worker : workers.all()) {
+      if (worker.listing().filter(listing -> listing.service().equals(service)).isPresent()) {
+        capacityCpuMillis += worker.capacityCpuMillis();
+        freeCpuMillis += Math.max(0, worker.free().cpuMillis());
+      }
+    }
+    return 2 * freeCpuMillis > capacityCpuMillis;
+  }
+
   private static boolean hasRun(Job job) {
     for (JobStep step : job.openSteps()) {
       for (Task task : step.tasks()) {
@@ -396,64 +408,4 @@
         run.startCheckpoint());
     return run;
   }
-
-  /** Preempts less urgent runs with checkpoints, on the worker where the fewest have to stop. */
-  private void preemptFor(Task task, WorkerSelector selector, long nowMillis) {
-    if (task.step().job().rules().priority() > 0 || preemptionPauseUntil.containsKey(task)) {
-      return;
-    }
-    List<Run> fewest = List.of();
-    for (Worker worker : workers.all()) {
-      if (selector.isAllowed(worker, task)) {
-        List<Run> victims = victims(worker, task);
-        if (!victims.isEmpty() && (fewest.isEmpty() || victims.size() < fewest.size())) {
-          fewest = victims;
-        }
-      }
-    }
-    if (!fewest.isEmpty()) {
-      preemptionPauseUntil.put(task, nowMillis + PREEMPTION_PAUSE_MILLIS);
-      fewest.forEach(run -> runs.stop(run, "preempted for " + task.id(), nowMillis));
-    }
-  }
-
-  /**
-   * Returns the runs to stop so that a task fits on a worker. Long-running tasks are not among
-   * them: once interrupted they are placed before urgent ones, and would take the capacity back.
-   */
-  private static List<Run> victims(Worker worker, Task task) {
-    int priority = task.step().job().rules().priority();
-    List<Run> candidates = new ArrayList<>();
-    for (List<Run> runsOfTask : worker.runsByTask()) {
-      for (Run run : runsOfTask) {
-        StepSpec spec = run.task().step().spec();
-        if (run.state() == Run.State.RUNNING
-            && run.task().step().job().rules().priority() > priority
-            && spec.checkpointing()
-            && !spec.lasting()
-            && !spec.gang()) {
-          candidates.add(run);
-        }
-      }
-    }
-    if (candidates.isEmpty()) {
-      return List.of();
-    }
-    candidates.sort((a, b) -> Integer.compare(cpu(b), cpu(a)));
-    List<Run> victims = new ArrayList<>();
-    var available = worker.free();
-    var demand = Worker.demand(task.step().spec());
-    for (Run run : candidates) {
-      if (demand.fitsIn(available)) {
-        break;
-      }
-      victims.add(run);
-      available = available.plus(Worker.demand(run.task().step().spec()));
-    }
-    return demand.fitsIn(available) ? victims : List.of();
-  }
-
-  private static int cpu(Run run) {
-    return Worker.demand(run.task().step().spec()).cpuMillis();
-  }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -13,7 +12,6 @@
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.Task;
-import org.lavenderstage.core.job.TaskId;
 
 /**
  * Tracks runs from start to end. An unanswered order is repeated with its attempt number, which a
@@ -201,23 +199,6 @@
     }
   }
 
-  /**
-   * Handles the report that confirms a worker's raised fencing token. The worker ignores all orders
-   * sent before, so the runs that it does not list will not be there.
-   */
-  void handleFenceConfirmed(Worker worker, WorkerReport report) {
-    worker.unansweredOrders().clear();
-    if (!report.isComplete()) {
-      return;
-    }
-    for (Run run : worker.runs()) {
-      boolean expected = run.state() == Run.State.STARTING && !run.isStartSent();
-      if (!expected && !report.contains(run.task().id(), run.attempt())) {
-        markLost(worker, run, "not carried out before its fencing token was raised");
-      }
-    }
-  }
-
   private void handleRunningTask(
       Worker worker,
       WorkerReport.RunningTask active,
@@ -393,25 +374,6 @@
     }
   }
 
-  /**
-   * Marks the runs of a worker's previous incarnation as lost. Runs that the report contains, or
-   * whose state changed after the poll (monotonic time), are of the new incarnation. That one may
-   * still carry out an unanswered start, until it reports to a poll with the raised fencing token.
-   */
-  void handleRestart(Worker worker, WorkerReport report, long polledMillis, long nowMillis) {
-    Map<TaskId, UnansweredOrders.Start> pendingStarts = worker.unansweredOrders().starts(nowMillis);
-    for (Run run : worker.runs()) {
-      UnansweredOrders.Start start = pendingStarts.get(run.task().id());
-      boolean mayStillStart =
-          run.state() == Run.State.STARTING || (start != null && start.attempt() == run.attempt());
-      boolean startedSince =
-          run.stateSinceMillis() >= polledMillis || report.contains(run.task().id(), run.attempt());
-      if (!startedSince && !mayStillStart) {
-        markLost(worker, run, "the worker restarted");
-      }
-    }
-  }
-
   /** Stops tracking a run that cannot be running any more. */
   void markLost(Worker worker, Run run, String explanation) {
     logRun(Decision.RUN_LOST, run, "why", explanation);
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -82,15 +82,6 @@
    */
   private record Reservation(Resources resources, boolean forInterrupted, long fitsAtMillis) {}
 
-  /** What a task requires of a worker. */
-  record Requirements(Resources demand, String service, String requiredLabel) {
-    static Requirements of(Task task) {
-      StepSpec spec = task.step().spec();
-      return new Requirements(
-          Worker.demand(spec), task.step().job().rules().service(), spec.requiredLabel());
-    }
-  }
-
   private final Map<Worker, Reservation> reservations = new HashMap<>();
   private final Map<Worker, Resources> freeAfterShortRunsByWorker = new HashMap<>();
 
@@ -167,23 +158,6 @@
     return withheld ? new PlacementResult.Withheld() : new PlacementResult.Found(best);
   }
 
-  /**
-   * Returns whether less than half of the processors of a task's service are allocated; best-effort
-   * tasks allocate none.
-   */
-  boolean isMostCapacityFree(Task task) {
-    String service = task.step().job().rules().service();
-    long capacityCpuMillis = 0;
-    long freeCpuMillis = 0;
-    for (Worker worker : workers) {
-      if (worker.listing().filter(listing -> listing.service().equals(service)).isPresent()) {
-        capacityCpuMillis += worker.capacityCpuMillis();
-        freeCpuMillis += Math.max(0, worker.free().cpuMillis());
-      }
-    }
-    return 2 * freeCpuMillis > capacityCpuMillis;
-  }
-
   /**
    * Finds a worker on which a best-effort task at full speed would interfere too much: the one
    * where it would interfere least.
@@ -222,19 +196,13 @@
     return unplacedUrgent.stream()
         .anyMatch(
             requirements ->
-                requirements.demand().fitsIn(available)
-                    && matches(listing, requirements.service(), requirements.requiredLabel()));
+                requirements.demand().fitsIn(available) && requirements.permit(listing));
   }
 
   private Resources freeAfterShortRuns(Worker worker) {
     return freeAfterShortRunsByWorker.computeIfAbsent(worker, CapacityForecast::freeAfterShortRuns);
   }
 
-  private static boolean matches(WorkerListing listing, String service, String requiredLabel) {
-    return listing.service().equals(service)
-        && (requiredLabel.isEmpty() || listing.labels().contains(requiredLabel));
-  }
-
   /** Discards the cached state of a worker whose runs have changed. */
   void invalidate(Worker worker) {
     servingStates.remove(worker);
@@ -329,7 +297,7 @@
       return false;
     }
     WorkerListing listing = worker.listing().orElseThrow();
-    return matches(listing, step.job().rules().service(), spec.requiredLabel())
+    return Requirements.matches(listing, step.job().rules().service(), spec.requiredLabel())
         && (spec.maxPerWorker() == 0 || worker.countOf(step) < spec.maxPerWorker())
         && !hasRunOn(worker, task);
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -18,36 +18,19 @@
  * run on the worker can have a valid lease.
  */
 final class WorkerTable {
-  /** How long a worker may wait for a run to end before it reports, in milliseconds. */
-  private static final int REPORT_WAIT_MILLIS = 1_000;
-
-  /**
-   * Shorter wait while the outcome of an order to a run is unknown, in milliseconds; the longest
-   * duration of a stop.
-   */
-  private static final int UNKNOWN_OUTCOME_WAIT_MILLIS = 200;
-
-  /**
-   * Shorter wait while a serving task exceeds its target latency, in milliseconds; the window that
-   * the measurements in a report cover.
-   */
-  private static final int OVER_TARGET_WAIT_MILLIS =
-      (int) BestEffortInterference.REPORT_WINDOW_MILLIS;
-
   /** Pause before a worker that gave no report is polled again, in milliseconds. */
   private static final long POLL_RETRY_PAUSE_MILLIS = 250;
 
   /** Time between polls while ended runs wait to be stored, in milliseconds. */
   private static final long UNSTORED_POLL_PAUSE_MILLIS = 500;
 
-  /** Largest error of the owner's estimate of a worker's clock, in milliseconds. */
-  private static final long MAX_CLOCK_ERROR_MILLIS = 500;
-
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Set<Worker> unstoredWorkers = new LinkedHashSet<>();
   private final List<StoredChange> removals = new ArrayList<>();
   private final PoolTiming timing;
   private final RunTracker runs;
+  private final RestartedRuns restartedRuns;
+  private final WorkerLeases leases;
   private final DecisionLog log;
   private final RenewalPolicy renewals;
   private final UnreportedRuns unreportedRuns = new UnreportedRuns(workers.values());
@@ -61,6 +44,8 @@
     nextFirstToken = WorkerFence.lowestToken(term);
     this.timing = timing;
     this.runs = runs;
+    restartedRuns = new RestartedRuns(runs);
+    leases = new WorkerLeases(timing);
     this.log = log;
     renewals = new RenewalPolicy(term, timing, log);
   }
@@ -73,6 +58,11 @@
     return Optional.ofNullable(workers.get(id));
   }
 
+  /** Returns the leases of the workers. */
+  WorkerLeases leases() {
+    return leases;
+  }
+
   /** Returns which tasks may have runs of previous owners that are not known. */
   UnreportedRuns unreportedRuns() {
     return unreportedRuns;
@@ -222,53 +212,24 @@
     long leaseUntilMillis = 0;
     boolean reachable = worker.isClockKnown() && worker.hasReported() && !worker.isUnresponsive();
     if (reachable && worker.renewal().isAllowed()) {
-      leaseUntilMillis = grantLease(worker, nowMillis);
+      leaseUntilMillis = leases.grant(worker, nowMillis);
     }
     boolean incarnationKnown = worker.hasReported() && worker.fence().isConfirmed();
     boolean mayWait = incarnationKnown && worker.ends().seenUpTo() == worker.ends().storedUpTo();
-    int maxWaitMillis = mayWait ? maxReportWait(worker) : 0;
+    int maxWaitMillis = mayWait ? ReportWait.maxMillis(worker) : 0;
     return new Order.Poll(
         worker, leaseUntilMillis, worker.nextAcknowledgement(), maxWaitMillis, nowMillis);
   }
 
-  private static int maxReportWait(Worker worker) {
-    if (worker.hasRunsWithUnknownOutcome()) {
-      return UNKNOWN_OUTCOME_WAIT_MILLIS;
-    }
-    boolean targetExceeded =
-        worker.bestEffortCount() > 0
-            && worker.isServing()
-            && worker.runs().stream().anyMatch(InterferenceController::exceedsTarget);
-    return targetExceeded ? OVER_TARGET_WAIT_MILLIS : REPORT_WAIT_MILLIS;
-  }
-
-  /** Grants a new lease and returns its end on the worker's clock. */
-  long grantLease(Worker worker, long nowMillis) {
-    worker.extendLease(nowMillis + timing.longestLeaseMillis());
-    return worker.clockAt(nowMillis) + timing.leaseMillis();
-  }
-
-  /**
-   * Extends the lease by the longest that the worker grants: an incarnation that the owner does not
-   * know may have carried out an order until now, which names the end of its lease on the clock of
-   * the previous incarnation.
-   */
-  private void extendForeignLease(Worker worker, long nowMillis) {
-    worker.extendLease(nowMillis + timing.longestForeignLeaseMillis());
-  }
-
   /** Handles the result of a start. */
   void handleStartResult(Order.Start start, OrderResult result, long nowMillis) {
     Worker worker = start.worker();
-    boolean otherIncarnation =
-        result instanceof OrderResult.Accepted accepted
-            && accepted.clockMillis() + MAX_CLOCK_ERROR_MILLIS
-                < start.leaseUntilMillis() - timing.leaseMillis();
+    boolean otherIncarnation = leases.isOnOtherClock(start, result);
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
       worker.fence().raise();
     }
     if (otherIncarnation || result instanceof OrderResult.Unanswered) {
-      extendForeignLease(worker, nowMillis);
+      leases.extendForeign(worker, nowMillis);
     }
     runs.handleStartResult(worker, start.run(), result, nowMillis);
   }
@@ -302,7 +263,7 @@
             false, wasUnresponsive ? nowMillis + POLL_RETRY_PAUSE_MILLIS : nowMillis);
         boolean mayStart = !worker.unansweredOrders().starts(nowMillis).isEmpty();
         if (order.leaseUntilMillis() > 0 && mayStart) {
-          extendForeignLease(worker, nowMillis);
+          leases.extendForeign(worker, nowMillis);
         }
         if (!wasUnresponsive) {
           log.record(
@@ -350,7 +311,7 @@
     }
     boolean confirmed = worker.fence().recordReport(order.fencingToken());
     if (restarted || (confirmed && worker.fence().isRaised())) {
-      extendForeignLease(worker, nowMillis);
+      leases.extendForeign(worker, nowMillis);
     }
     if (restarted) {
       handleRestart(worker, report, order.sentAtMillis(), nowMillis);
@@ -375,7 +336,7 @@
     long seenBefore = worker.ends().seenUpTo();
     runs.handleReport(worker, report, order.sentAtMillis(), nowMillis, wallMillis, orders);
     if (confirmed) {
-      runs.handleFenceConfirmed(worker, report);
+      restartedRuns.handleConfirmation(worker, report);
     }
     if (order.sentAtMillis() > previousOwnerInactiveMillis) {
       // A previous owner starts a task again only after it considers its run ended.
@@ -416,7 +377,7 @@
         worker.leaseExpiryMillis() - nowMillis,
         "fencing-token",
         worker.fence().token());
-    runs.handleRestart(worker, report, polledAtMillis, nowMillis);
+    restartedRuns.handleRestart(worker, report, polledAtMillis, nowMillis);
   }
 
   private void markAllLost(Worker worker, String explanation) {
