--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -86,6 +87,12 @@
   private Set<String> unreportedTasks = Set.of();
   private final Preemption preemption;
 
+  /** Whether most of the capacity of a service is free in this round. */
+  private final Map<String, Boolean> mostFreeServices = new HashMap<>();
+
+  /** What fits on no worker in this round, not even at reduced speed. */
+  private final Set<SearchKey> unplaceable = new HashSet<>();
+
   Placement(
       JobTable jobs,
       WorkerTable workers,
@@ -115,6 +122,8 @@
     inheritancePending = anyMayRun;
     unreportedTasks = workers.unreportedRuns().listedTasks(nowMillis);
     preemption.beginRound(nowMillis);
+    mostFreeServices.clear();
+    unplaceable.clear();
     deferralLog.beginRound();
     waitLog.beginRound();
     rank = 0;
@@ -225,7 +234,7 @@
     SearchKey key = SearchKey.of(task, overdue);
     if (spec.estimateMillis() > longestPlaceableMillis.getOrDefault(key, Long.MAX_VALUE)) {
       waitLog.recordDeferred(task, rank, () -> selector.countFits(task), nowMillis);
-      return placeAtReducedSpeed(task, selector, nowMillis);
+      return placeAtReducedSpeed(task, key, selector, nowMillis);
     }
     PlacementResult result = selector.search(task, overdue);
     if (result instanceof PlacementResult.Found found) {
@@ -246,7 +255,7 @@
         withheldUntil.put(Requirements.of(task), nowMillis + WITHHOLD_MILLIS);
       }
     }
-    if (placeAtReducedSpeed(task, selector, nowMillis)) {
+    if (placeAtReducedSpeed(task, key, selector, nowMillis)) {
       return true;
     }
     preemption.preemptFor(task, selector, nowMillis);
@@ -258,16 +267,19 @@
    * interference are corrected only where best-effort tasks run, so they must not keep a job from
    * running at all; its speed is then set by what it causes.
    */
-  private boolean placeAtReducedSpeed(Task task, WorkerSelector selector, long nowMillis) {
+  private boolean placeAtReducedSpeed(
+      Task task, SearchKey key, WorkerSelector selector, long nowMillis) {
     Job job = task.step().job();
     if (!task.step().spec().filling()
         || waitLog.waitedMillis(job, nowMillis) < REDUCED_SPEED_DELAY_MILLIS
-        || hasRun(job)
-        || !isMostCapacityFree(job.rules().service())) {
+        || !mostFreeServices.computeIfAbsent(job.rules().service(), this::isMostCapacityFree)
+        || unplaceable.contains(key)
+        || hasRun(job)) {
       return false;
     }
     Optional<Worker> worker = selector.findForReducedSpeed(task);
     if (worker.isEmpty()) {
+      unplaceable.add(key);
       return false;
     }
     Run run = startRun(task, worker.get(), nextAttempt(task), nowMillis);
