--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -194,6 +194,24 @@
     }
   }
 
+  /**
+   * Calls that wait for a connection fail one after the other, not each within the previous one.
+   */
+  @Test
+  void manyCallsToAnAddressThatRefusesConnectionsAllFail() throws Exception {
+    int port;
+    try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+      port = unused.getLocalPort();
+    }
+    List<CompletableFuture<Http1Response>> calls = new ArrayList<>();
+    for (int i = 0; i < 5_000; i++) {
+      calls.add(client.send(LOOPBACK + ":" + port, Http1Request.get("/"), TIMEOUT_MILLIS));
+    }
+    for (CompletableFuture<Http1Response> call : calls) {
+      assertThrows(ExecutionException.class, () -> call.get(10, TimeUnit.SECONDS));
+    }
+  }
+
   /** A process that had been paused for seconds acted on a permission that had run out. */
   @Test
   void aCallThatWaitedWhileTheProcessWasPausedIsNotSent() throws Exception {
