--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -236,7 +236,7 @@
     }
   }
 
-  /** Returns whether an order was rejected since this owner has raised the token since. */
+  /** Returns whether a worker ignored an order because this owner has raised its token. */
   private static boolean isSuperseded(Order sent, OrderResult answer) {
     return answer instanceof OrderResult.Rejected rejected
         && rejected.reason() == Rejection.FENCED
