Simulate restarts behind a disconnection and starts whose delay is knowable

New kinds of PoolFaults: a disconnected worker restarts and is listed anew only once it is connected; owners end and the next one knows of it; tasks outlast the simulation; up to half of the orders are delayed; workers restart only if the owner can know of each delayed start that they carry out. Existing kinds draw the same random numbers as before.

--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -80,15 +80,32 @@
     /** Delayed orders reach the next incarnation of their worker. */
     OTHER_INCARNATION,
     /** Workers grant longer leases than the owner requests. */
-    LONG_LEASES
+    LONG_LEASES,
+    /** Disconnected workers restart in place, and are listed anew once they are connected again. */
+    RESTART_BEHIND_DISCONNECTION,
+    /** Owners end and are replaced by one that knows of their end. */
+    NEW_OWNER_AFTER_KNOWN_END,
+    /** Only jobs with few tasks that run for longer than the simulation. */
+    OUTLASTING_TASKS,
+    /** Up to half of the orders are delayed. */
+    MANY_DELAYED_ORDERS,
+    /** Workers restart only if the owner can know of each delayed start that they carry out. */
+    KNOWABLE_DELAYED_STARTS
   }
 
+  /** Kinds that apply to the whole simulation, and take no round. */
+  private static final Set<Fault> PROPERTIES =
+      EnumSet.of(Fault.OUTLASTING_TASKS, Fault.MANY_DELAYED_ORDERS, Fault.KNOWABLE_DELAYED_STARTS);
+
   /** Longest time that an owner gives orders after its last confirmation, in milliseconds. */
   private static final int OWNERSHIP_MILLIS = 2_000;
 
   /** Longest time that a followed owner gives orders without the store, in milliseconds. */
   private static final int FOLLOWED_OWNERSHIP_MILLIS = 12_000;
 
+  /** Duration of tasks that run for longer than a simulation, in milliseconds. */
+  private static final long OUTLASTING_TASK_MILLIS = 200_000;
+
   /** Longest pause of an owner's process that is not replaced, in milliseconds. */
   private static final int MAX_PAUSE_MILLIS = 3_000;
 
@@ -115,6 +132,7 @@
             faults.contains(Fault.LONG_LEASES) ? LONG_LEASE_MILLIS : SimulatedWorker.LEASE_MILLIS);
     Random random = simulation.faultRandom;
     List<Fault> all = new ArrayList<>(faults);
+    all.removeAll(PROPERTIES);
     boolean listings = faults.contains(Fault.LISTINGS) || faults.contains(Fault.ADDRESS_CHANGE);
     simulation.listingsSentOnChange = listings;
     simulation.listingDelayMillis = faults.contains(Fault.LISTINGS) ? random.nextInt(3_000) : 0;
@@ -128,9 +146,11 @@
     for (int i = 0; i < ROUNDS && simulation.oracle.violations.isEmpty(); i++) {
       switch (random.nextInt(10)) {
         case 0, 1, 2 -> jobs.add(submit(simulation, random, faults));
-        case 3 -> simulation.delayedOrderRate = random.nextInt(3) * 0.1;
+        case 3 ->
+            simulation.delayedOrderRate =
+                random.nextInt(3) * (faults.contains(Fault.MANY_DELAYED_ORDERS) ? 0.25 : 0.1);
         case 4 -> simulation.lostAnswerRate = random.nextInt(3) * 0.1;
-        default -> inject(simulation, random, all.get(random.nextInt(all.size())), jobs);
+        default -> inject(simulation, random, all.get(random.nextInt(all.size())), jobs, faults);
       }
       simulation.run(random.nextInt(MAX_ROUND_MILLIS));
     }
@@ -170,6 +190,12 @@
   }
 
   private static Job submit(PoolSimulation simulation, Random random, Set<Fault> faults) {
+    if (faults.contains(Fault.OUTLASTING_TASKS)) {
+      int tasks = 1 + random.nextInt(3);
+      int cpuMillis = 200 + random.nextInt(1_000);
+      StepSpec step = StepBuilder.step(tasks, cpuMillis, OUTLASTING_TASK_MILLIS);
+      return simulation.submit(List.of(step), random.nextInt(3));
+    }
     if (faults.contains(Fault.GANGS) && random.nextInt(3) == 0) {
       int tasks = 2 + random.nextInt(3);
       int cpuMillis = 500 + random.nextInt(3_000);
@@ -217,12 +243,21 @@
   }
 
   private static void inject(
-      PoolSimulation simulation, Random random, Fault fault, List<Job> jobs) {
+      PoolSimulation simulation, Random random, Fault fault, List<Job> jobs, Set<Fault> all) {
     SimulatedWorker worker = simulation.workers.get(random.nextInt(simulation.workers.size()));
+    boolean seen =
+        fault != Fault.RESTART_BEHIND_DISCONNECTION && simulation.isPresentListingPublished(worker);
+    boolean mayRestart =
+        !all.contains(Fault.KNOWABLE_DELAYED_STARTS)
+            || simulation.delayedStarts.areKnowable(worker, seen);
     switch (fault) {
       case UNHEALTHY -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
       case REDUCED_CAPACITY -> worker.unaccountedCpuMillis = random.nextInt(3) * 2_000;
-      case CRASH -> crashOrRestart(simulation, worker);
+      case CRASH -> {
+        if (worker.up || mayRestart) {
+          crashOrRestart(simulation, worker);
+        }
+      }
       case ADDRESS_CHANGE -> changeAddress(simulation, worker, random);
       case DISCONNECTION -> worker.disconnected = !worker.disconnected;
       case DRAIN -> worker.draining = !worker.draining;
@@ -245,11 +280,19 @@
       case SLOW_ANSWERS ->
           simulation.maxAnswerDelayMillis = random.nextInt(2) * MAX_ANSWER_DELAY_MILLIS;
       case IMMEDIATE_RESTART -> {
-        if (worker.up) {
-          worker.crash(simulation.now);
+        if (mayRestart) {
+          if (worker.up) {
+            worker.crash(simulation.now);
+          }
+          restart(simulation, worker);
+        }
+      }
+      case RESTART_BEHIND_DISCONNECTION -> {
+        if (worker.disconnected && mayRestart) {
+          simulation.restartUnseen(worker);
         }
-        restart(simulation, worker);
       }
+      case NEW_OWNER_AFTER_KNOWN_END -> simulation.replaceOwnerKnownToHaveEnded();
       case PREVIOUS_OWNER_BEFORE_KNOWN_END -> {
         replaceOwner(simulation, random, UNCONFIRMED_OWNERSHIP_MILLIS);
         simulation.run(MIN_RESTART_MILLIS + random.nextInt(500));
@@ -259,7 +302,11 @@
         // Affect the steps and the workers.
       }
       case UNHEALTHY_STOPS -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
-      case OTHER_INCARNATION, LONG_LEASES -> {
+      case OTHER_INCARNATION,
+          LONG_LEASES,
+          OUTLASTING_TASKS,
+          MANY_DELAYED_ORDERS,
+          KNOWABLE_DELAYED_STARTS -> {
         // Apply to the whole simulation.
       }
     }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -20,7 +20,6 @@
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.StoredRecord;
-import org.lavenderstage.core.job.TaskId;
 
 /**
  * Simulates an owner, workers and a store under a virtual clock. Orders may be lost, answered late
@@ -65,11 +64,8 @@
   /** Listings of disconnected workers that have restarted since; they are listed as before. */
   private final Map<SimulatedWorker, WorkerListing> listingsBeforeUnseenRestart = new HashMap<>();
 
-  /** Starts that a worker has received and not carried out yet. */
-  private final List<DelayedStart> delayedStarts = new ArrayList<>();
-
-  /** Identifier of the worker that the latest start of a task was sent to. */
-  private final Map<TaskId, String> latestStartTargets = new HashMap<>();
+  /** Starts that workers have received and not carried out yet. */
+  final DelayedStarts delayedStarts = new DelayedStarts(oracle);
 
   /** Workers that are not listed, though they may be up. */
   final Set<SimulatedWorker> unlisted = new HashSet<>();
@@ -142,9 +138,6 @@
   /** A replaced owner that cannot reach the store and gives orders until a given time. */
   private record PreviousOwner(JobScheduler scheduler, long untilMillis) {}
 
-  /** A start that a worker carries out later. */
-  private record DelayedStart(SimulatedWorker worker, TaskId task) {}
-
   /** An action scheduled for a given time. */
   private record Event(long atMillis, long number, Runnable action) {}
 
@@ -310,6 +303,7 @@
           .ifPresent(
               previous -> step(previous.scheduler()).forEach(o -> send(o, previous.scheduler())));
       append();
+      delayedStarts.observe(owner);
       if (now % OWNER_QUERY_MILLIS == 0 && !isPaused(owner)) {
         renewalStops.recordStored(owner.lastStoredRenewalStop(), now);
       }
@@ -323,17 +317,9 @@
     worker.restart(now);
   }
 
-  /**
-   * Returns whether a worker will carry out a start of a task that is done, or that was ordered
-   * from another worker since.
-   */
-  boolean delaysOutdatedStart(SimulatedWorker worker) {
-    return delayedStarts.stream()
-        .filter(start -> start.worker() == worker)
-        .anyMatch(
-            start ->
-                oracle.isDone(start.task())
-                    || !worker.id.equals(latestStartTargets.get(start.task())));
+  /** Returns whether the listing of a worker that is up names its present incarnation. */
+  boolean isPresentListingPublished(SimulatedWorker worker) {
+    return !unlisted.contains(worker) && !listingsBeforeUnseenRestart.containsKey(worker);
   }
 
   private void publishListing(SimulatedWorker worker) {
@@ -400,9 +386,7 @@
 
   private void send(Order order, JobScheduler sender) {
     boolean fails = random.nextDouble() < failingRunRate;
-    if (order instanceof Order.Start start) {
-      latestStartTargets.put(start.run().task().id(), start.worker().id());
-    }
+    delayedStarts.recordSent(order);
     Optional<OrderOutcome> outcome = outcomes.apply(order);
     boolean delayed =
         outcome.map(given -> given.delayMillis() > 0).orElseGet(() -> occurs(delayedOrderRate));
@@ -490,11 +474,7 @@
     if (receiver.isPresent() && received) {
       SimulatedWorker worker = receiver.get();
       long incarnation = worker.startMillis;
-      Optional<DelayedStart> delayedStart =
-          order instanceof Order.Start start
-              ? Optional.of(new DelayedStart(worker, start.run().task().id()))
-              : Optional.empty();
-      delayedStart.ifPresent(delayedStarts::add);
+      Optional<DelayedStarts.DelayedStart> delayedStart = delayedStarts.add(worker, order);
       schedule(
           millis,
           () -> {
@@ -537,6 +517,7 @@
           if (sender == owner
               || previousOwner.filter(previous -> previous.scheduler() == sender).isPresent()) {
             sender.orderCompleted(order, result, monotonicMillis(sender), now);
+            delayedStarts.recordResult(order, result);
           }
         });
   }
