--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -397,16 +397,16 @@
    * @return the batch, empty if no changes are due
    */
   public Optional<JournalBatch> drainChanges(long nowMillis, long minIntervalMillis) {
-    boolean awaited = jobs.hasAwaitedChanges() || workers.hasAwaitedChanges();
+    boolean awaited = jobs.hasAwaitedChanges() || workers.records().hasAwaitedChanges();
     boolean intervalOver = nowMillis - lastBatchMillis >= minIntervalMillis;
-    boolean due = awaited || (intervalOver && (jobs.hasChanges() || workers.hasChanges()));
+    boolean due = awaited || (intervalOver && (jobs.hasChanges() || workers.records().hasChanges()));
     if (!due) {
       return Optional.empty();
     }
     lastBatchMillis = nowMillis;
     List<StoredChange> changes = new ArrayList<>();
     Map<Job, JobPhase> phases = jobs.drain(changes);
-    List<JournalBatch.StoredEnds> workerEnds = workers.drain(changes);
+    List<JournalBatch.StoredEnds> workerEnds = workers.records().drain(changes);
     return Optional.of(new JournalBatch(changes, phases, workerEnds));
   }
 
@@ -419,7 +419,7 @@
   public void batchStored(JournalBatch batch, long nowMillis) {
     pacer.recordChange();
     batch.phases().forEach(Job::markStored);
-    batch.storedEnds().forEach(ends -> workers.handleStoredEnds(ends, nowMillis));
+    batch.storedEnds().forEach(ends -> workers.records().handleStoredEnds(ends, nowMillis));
   }
 
   /**
@@ -428,7 +428,7 @@
    * @return the number of the last stored decision, 0 if there is none
    */
   public long lastStoredRenewalStop() {
-    return workers.lastStoredRenewalStop();
+    return workers.records().lastStoredRenewalStop();
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -1,15 +1,11 @@
 package org.lavenderstage.core.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.WorkerRecord;
 
 /**
@@ -25,14 +21,13 @@
   private static final long UNSTORED_POLL_PAUSE_MILLIS = 500;
 
   private final Map<String, Worker> workers = new LinkedHashMap<>();
-  private final Set<Worker> unstoredWorkers = new LinkedHashSet<>();
-  private final List<StoredChange> removals = new ArrayList<>();
   private final PoolTiming timing;
   private final RunTracker runs;
   private final RestartedRuns restartedRuns;
   private final WorkerLeases leases;
   private final DecisionLog log;
   private final RenewalPolicy renewals;
+  private final WorkerRecords records;
   private final UnreportedRuns unreportedRuns = new UnreportedRuns(workers.values());
 
   /** First fencing token of the next worker; higher than those of the removed workers. */
@@ -48,6 +43,7 @@
     leases = new WorkerLeases(timing);
     this.log = log;
     renewals = new RenewalPolicy(term, timing, log);
+    records = new WorkerRecords(renewals);
   }
 
   Collection<Worker> all() {
@@ -58,6 +54,11 @@
     return Optional.ofNullable(workers.get(id));
   }
 
+  /** Returns the stored records of the workers and their pending changes. */
+  WorkerRecords records() {
+    return records;
+  }
+
   /** Returns the leases of the workers. */
   WorkerLeases leases() {
     return leases;
@@ -77,7 +78,7 @@
     worker.ends().recordStored(record.notedUpTo());
     previousOwnerInactiveMillis = nowMillis + timing.previousOwnerRenewalMillis();
     if (renewals.restore(worker, record, renewalStops, nowMillis)) {
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     } else {
       // The previous owner's orders may have reached an incarnation with another clock.
       worker.extendLease(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
@@ -101,7 +102,7 @@
       worker.setRecordRemoved(false);
     }
     if (!worker.isRecordStored() && !worker.isRecordRemoved()) {
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     }
     if (changed) {
       log.record(
@@ -165,7 +166,7 @@
           && worker.isUnresponsive()
           && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
-        removeRecord(worker);
+        records.discard(worker);
         nextFirstToken = Math.max(nextFirstToken, worker.fence().token() + 1);
         all.remove();
       } else if (worker.isPollDue(nowMillis)) {
@@ -183,9 +184,9 @@
     if (allAcknowledged
         && isEmpty(worker, nowMillis)
         && !worker.isUnresponsive()
-        && !unstoredWorkers.contains(worker)) {
+        && !records.isChanged(worker)) {
       worker.setRecordRemoved(true);
-      removals.add(StoredChange.deleteWorker(worker.id()));
+      records.remove(worker);
     }
   }
 
@@ -196,13 +197,6 @@
         && worker.unansweredOrders().starts(nowMillis).isEmpty();
   }
 
-  private void removeRecord(Worker worker) {
-    unstoredWorkers.remove(worker);
-    if (worker.mayHaveRecord()) {
-      removals.add(StoredChange.deleteWorker(worker.id()));
-    }
-  }
-
   /**
    * Polls a worker and renews its lease. The lease of an unresponsive worker is left to expire, so
    * that its runs are known to have ended.
@@ -250,7 +244,7 @@
         }
         if (worker.renewal().stop().isPresent()) {
           worker.renewal().resume();
-          unstoredWorkers.add(worker);
+          records.markChanged(worker);
         }
         handleReport(order, reported.report(), nowMillis, wallMillis, orders);
       }
@@ -277,7 +271,7 @@
         }
         // A stop cannot be relied upon as long as a previous owner may still renew the leases.
         if (nowMillis >= previousOwnerInactiveMillis && renewals.stopIfDue(worker, nowMillis)) {
-          unstoredWorkers.add(worker);
+          records.markChanged(worker);
         }
       }
       case OrderResult.Accepted accepted ->
@@ -344,7 +338,7 @@
     }
     if (worker.ends().seenUpTo() > seenBefore) {
       worker.setRecordRemoved(false);
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     }
     if (worker.ends().seenUpTo() > worker.ends().storedUpTo()) {
       worker.recordPollEnded(true, nowMillis + UNSTORED_POLL_PAUSE_MILLIS);
@@ -361,7 +355,7 @@
     long previousStart = worker.startedAtMillis();
     worker.beginIncarnation(report.startedAtMillis());
     worker.setRecordRemoved(false);
-    unstoredWorkers.add(worker);
+    records.markChanged(worker);
     if (!known) {
       return;
     }
@@ -384,58 +378,4 @@
     worker.runs().forEach(run -> runs.markLost(worker, run, explanation));
     worker.setReported(false);
   }
-
-  boolean hasChanges() {
-    return !unstoredWorkers.isEmpty() || !removals.isEmpty();
-  }
-
-  /** Returns whether a worker gets no runs until its record is stored. */
-  boolean hasAwaitedChanges() {
-    return unstoredWorkers.stream()
-        .anyMatch(worker -> !worker.isIncarnationStored() || worker.renewal().isResuming());
-  }
-
-  /** Returns the number up to which decisions to stop the renewal of leases are stored. */
-  long lastStoredRenewalStop() {
-    return renewals.lastStoredNumber();
-  }
-
-  /**
-   * Adds the pending changes to a list. Removals come first, since a worker that was listed again
-   * was removed before that.
-   *
-   * @return the ended runs that are stored with the changes
-   */
-  List<JournalBatch.StoredEnds> drain(List<StoredChange> changes) {
-    changes.addAll(removals);
-    List<JournalBatch.StoredEnds> storedEnds = new ArrayList<>(unstoredWorkers.size());
-    for (Worker worker : unstoredWorkers) {
-      worker.markRecordSent();
-      changes.add(StoredChange.put(renewals.createRecord(worker)));
-      storedEnds.add(
-          new JournalBatch.StoredEnds(
-              worker,
-              worker.startedAtMillis(),
-              worker.ends().seenUpTo(),
-              worker.renewal().stop().map(RenewalStop::number).orElse(0L)));
-    }
-    unstoredWorkers.clear();
-    removals.clear();
-    return storedEnds;
-  }
-
-  void handleStoredEnds(JournalBatch.StoredEnds storedEnds, long nowMillis) {
-    Worker worker = storedEnds.worker();
-    if (renewals.recordStored(worker, storedEnds.renewalStop())) {
-      worker.pollSoon(nowMillis);
-    }
-    if (!worker.isRecordRemoved()) {
-      worker.markRecordStored(storedEnds.workerStartedAtMillis());
-    }
-    if (worker.startedAtMillis() == storedEnds.workerStartedAtMillis()
-        && storedEnds.upTo() > worker.ends().storedUpTo()) {
-      worker.ends().recordStored(storedEnds.upTo());
-      worker.pollSoon(nowMillis);
-    }
-  }
 }
