Log when the fencing token of a worker is raised, and what a silent worker may still carry out

A restart that the owner learned from a listing or a clock left no line of its own until the worker reported, and nothing said how many unanswered starts were pending or until when the owner counts the leases of a worker that it does not hear. No decision changes.

--- a/core/src/main/java/org/lavenderstage/core/pool/Decision.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Decision.java
@@ -47,5 +47,7 @@
   /** No unreported run of a previous owner can exist any more. */
   INHERITANCE_SETTLED,
   /** The owner renews the leases of an unresponsive worker no more, for a later owner to know. */
-  RENEWAL_STOPPED
+  RENEWAL_STOPPED,
+  /** The fencing token of a worker was raised, since the worker may have restarted. */
+  TOKEN_RAISED
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -399,7 +399,8 @@
   public Optional<JournalBatch> drainChanges(long nowMillis, long minIntervalMillis) {
     boolean awaited = jobs.hasAwaitedChanges() || workers.records().hasAwaitedChanges();
     boolean intervalOver = nowMillis - lastBatchMillis >= minIntervalMillis;
-    boolean due = awaited || (intervalOver && (jobs.hasChanges() || workers.records().hasChanges()));
+    boolean due =
+        awaited || (intervalOver && (jobs.hasChanges() || workers.records().hasChanges()));
     if (!due) {
       return Optional.empty();
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -30,6 +30,11 @@
     return starts;
   }
 
+  /** Returns the number of unanswered starts since the worker last ignored all earlier orders. */
+  int count() {
+    return starts.size();
+  }
+
   /** Records that the worker ignores all orders sent so far that it has not carried out yet. */
   void clear() {
     starts.clear();
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -93,10 +93,11 @@
     boolean changed = !worker.listing().equals(Optional.of(listing));
     long previouslyListedStart = worker.listing().map(WorkerListing::startedAtMillis).orElse(0L);
     worker.setListing(Optional.of(listing));
+    boolean restarted =
+        worker.startedAtMillis() != 0
+            && indicatesNewIncarnation(listing, previouslyListedStart, worker);
     if (worker.startedAtMillis() == 0) {
       worker.setStartedAtMillis(listing.startedAtMillis());
-    } else if (indicatesNewIncarnation(listing, previouslyListedStart, worker)) {
-      worker.fence().raise();
     }
     if (worker.isRecordRemoved() && !listing.draining()) {
       worker.setRecordRemoved(false);
@@ -122,6 +123,23 @@
           "known-born",
           worker.startedAtMillis());
     }
+    if (restarted) {
+      raiseToken(worker, "listing");
+    }
+  }
+
+  private void raiseToken(Worker worker, String cause) {
+    worker.fence().raise();
+    log.record(
+        Decision.TOKEN_RAISED,
+        "worker",
+        worker.id(),
+        "cause",
+        cause,
+        "fencing-token",
+        worker.fence().token(),
+        "unanswered-starts",
+        worker.unansweredOrders().count());
   }
 
   /**
@@ -220,7 +238,7 @@
     Worker worker = start.worker();
     boolean otherIncarnation = leases.isOnOtherClock(start, result);
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
-      worker.fence().raise();
+      raiseToken(worker, "clock");
     }
     if (otherIncarnation || result instanceof OrderResult.Unanswered) {
       leases.extendForeign(worker, nowMillis);
@@ -267,7 +285,13 @@
               "cause",
               unanswered.cause(),
               "runs",
-              worker.runs().size());
+              worker.runs().size(),
+              "unanswered-starts",
+              worker.unansweredOrders().starts(nowMillis).size(),
+              "token-confirmed",
+              worker.fence().isConfirmed(),
+              "lease-over-in",
+              worker.leaseExpiryMillis() - nowMillis);
         }
         // A stop cannot be relied upon as long as a previous owner may still renew the leases.
         if (nowMillis >= previousOwnerInactiveMillis && renewals.stopIfDue(worker, nowMillis)) {
@@ -301,7 +325,7 @@
     boolean restarted =
         report.startedAtMillis() != 0 && report.startedAtMillis() != worker.startedAtMillis();
     if (restarted && worker.fence().isConfirmed()) {
-      worker.fence().raise();
+      raiseToken(worker, "report");
     }
     boolean confirmed = worker.fence().recordReport(order.fencingToken());
     if (restarted || (confirmed && worker.fence().isRaised())) {
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -155,7 +155,9 @@
   /** No unknown run of a previous owner can be active any longer. */
   INHERITANCE_SETTLED(7409),
   /** The owner renews the leases of an unresponsive worker no more, for a later owner to know. */
-  RENEWAL_STOPPED(7410);
+  RENEWAL_STOPPED(7410),
+  /** The fencing token of a worker was raised, since the worker may have restarted. */
+  TOKEN_RAISED(7411);
 
   private final String label;
   private final String displayName;
