--- /dev/null
+++ b/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
@@ -0,0 +1,394 @@
+package org.lavenderstage.core.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.TaskId;
+import org.lavenderstage.core.job.WorkerRecord;
+
+/**
+ * Orders that get no answer are carried out seconds later by the next incarnation of their worker,
+ * which has seen no fencing token and is disconnected. No task starts elsewhere while it may run
+ * there, and the tasks that cannot run there do not wait for that.
+ */
+class LateOrderTest {
+  private static final long SEED = 1;
+
+  /** Longest delay of an order by the platform's description, in milliseconds. */
+  private static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+
+  /** Time for a start after the last reason to wait has ended, in milliseconds. */
+  private static final long START_MILLIS = 1_500;
+
+  private static final long TASK_MILLIS = 200_000;
+
+  private static final PoolTiming TIMING =
+      new PoolTiming(SimulatedWorker.LEASE_MILLIS, SimulatedWorker.LEASE_MILLIS, 300, 2_500);
+
+  private final PoolSimulation simulation = new PoolSimulation(SEED, 2);
+
+  /** Starts that were sent, in order. */
+  private final List<Order.Start> sentStarts = new ArrayList<>();
+
+  LateOrderTest() {
+    simulation.usePlatformDelays();
+    simulation.delayedOrdersReachOtherIncarnations = true;
+    simulation.delayedOrdersIgnoreDisconnection = true;
+    simulation.outcomes = this::answer;
+    simulation.run(3_000);
+  }
+
+  private Optional<PoolSimulation.OrderOutcome> answer(Order order) {
+    if (order instanceof Order.Start start) {
+      sentStarts.add(start);
+    }
+    return PoolSimulation.OrderOutcome.answered();
+  }
+
+  /** Delays the next start, and lets all other orders be answered. */
+  private void delayNextStart(long millis) {
+    int sentBefore = sentStarts.size();
+    simulation.outcomes =
+        order -> {
+          Optional<PoolSimulation.OrderOutcome> answered = answer(order);
+          boolean next = order instanceof Order.Start && sentStarts.size() == sentBefore + 1;
+          return next ? PoolSimulation.OrderOutcome.delayed(millis) : answered;
+        };
+  }
+
+  /**
+   * Delays a renewal of the lease of each worker, then sends a start that is carried out at once
+   * and not answered, by workers that have restarted in between.
+   *
+   * @return the worker of the start
+   */
+  private SimulatedWorker startUnansweredWhileRenewalsAreDelayed(long millis, Job[] job) {
+    List<String> renewed = new ArrayList<>();
+    simulation.outcomes =
+        order -> {
+          answer(order);
+          if (order instanceof Order.Poll poll && poll.leaseUntilMillis() > 0) {
+            renewed.add(poll.worker().id());
+            return PoolSimulation.OrderOutcome.delayed(millis);
+          }
+          return order instanceof Order.Start
+              ? PoolSimulation.OrderOutcome.unanswered()
+              : PoolSimulation.OrderOutcome.answered();
+        };
+    runUntil(() -> renewed.size() == simulation.workers.size(), 1_500);
+    simulation.workers.forEach(this::restart);
+    job[0] = submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    simulation.outcomes = this::answer;
+    simulation.run(50);
+    assertTrue(worker.runs(taskOf(job[0])));
+    return worker;
+  }
+
+  private Job submit(int tasks) {
+    return simulation.submit(List.of(StepBuilder.step(tasks, 1_000, TASK_MILLIS)), 0);
+  }
+
+  private static TaskId taskOf(Job job) {
+    return new TaskId(job.id(), 0, 0, 0);
+  }
+
+  private void restart(SimulatedWorker worker) {
+    worker.crash(simulation.now);
+    worker.restart(simulation.now);
+  }
+
+  private void runUntil(BooleanSupplier condition, long maxMillis) {
+    long until = simulation.now + maxMillis;
+    while (!condition.getAsBoolean() && simulation.now < until) {
+      simulation.run(10);
+    }
+    assertTrue(
+        condition.getAsBoolean(),
+        () -> "not within " + maxMillis + " ms\n" + String.join("\n", simulation.history));
+  }
+
+  /** Runs until a start is sent and returns its worker. */
+  private SimulatedWorker runUntilStartIsSent() {
+    int sentBefore = sentStarts.size();
+    runUntil(() -> sentStarts.size() > sentBefore, 1_000);
+    return workerNamed(sentStarts.get(sentBefore).worker().id());
+  }
+
+  private SimulatedWorker workerNamed(String id) {
+    return simulation.workers.stream().filter(w -> w.id.equals(id)).findFirst().orElseThrow();
+  }
+
+  private SimulatedWorker workerOf(TaskId task) {
+    return simulation.workers.stream().filter(w -> w.runs(task)).findFirst().orElseThrow();
+  }
+
+  private boolean runsBeside(SimulatedWorker worker, TaskId task) {
+    return simulation.workers.stream().anyMatch(w -> w != worker && w.up && w.runs(task));
+  }
+
+  private void assertNoViolations() {
+    assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
+  }
+
+  /**
+   * Runs until all leases on a silent worker have expired, and asserts that a task that runs there
+   * starts elsewhere then and not before.
+   */
+  private void assertStartsElsewhereAfterLease(
+      SimulatedWorker worker, TaskId task, long lastOrderMillis) {
+    assertTrue(worker.runs(task), "the order was not carried out late");
+    long latest =
+        lastOrderMillis
+            + MAX_ORDER_DELAY_MILLIS
+            + TIMING.longestForeignLeaseMillis()
+            + START_MILLIS;
+    runUntil(() -> runsBeside(worker, task), latest - simulation.now);
+    assertNoViolations();
+    assertFalse(worker.runs(task));
+  }
+
+  /** Delays a start, which the next incarnation, listed and then disconnected, carries out. */
+  private SimulatedWorker delayStartUntilAfterRestart() {
+    delayNextStart(7_000);
+    submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    simulation.run(50);
+    restart(worker);
+    simulation.run(450);
+    worker.disconnected = true;
+    return worker;
+  }
+
+  /** Guards against a start beside one of the former owner that the next incarnation delayed. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhileTheNextIncarnationCarriesOutAStartOfTheFormerOwner() {
+    SimulatedWorker worker = delayStartUntilAfterRestart();
+    simulation.replaceOwnerKnownToHaveEnded();
+    long lastOrder = simulation.now;
+    simulation.run(6_600);
+    assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
+  }
+
+  /** Guards against a start beside one of the same owner that the next incarnation delayed. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhileTheNextIncarnationCarriesOutItsDelayedStart() {
+    SimulatedWorker worker = delayStartUntilAfterRestart();
+    long lastOrder = simulation.now;
+    simulation.run(6_600);
+    assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
+  }
+
+  /** Guards against a lease that delayed renewals of the former owner prolong unseen. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhileDelayedRenewalsOfTheFormerOwnerProlongItsLease() {
+    Job[] job = new Job[1];
+    SimulatedWorker worker = startUnansweredWhileRenewalsAreDelayed(6_000, job);
+    simulation.run(300);
+    worker.disconnected = true;
+    simulation.replaceOwnerKnownToHaveEnded();
+    long lastOrder = simulation.now;
+    simulation.run(6_000);
+    assertStartsElsewhereAfterLease(worker, taskOf(job[0]), lastOrder);
+  }
+
+  /** Guards against a lease that delayed renewals of the same owner prolong unseen. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhileDelayedRenewalsProlongItsLease() {
+    Job[] job = new Job[1];
+    SimulatedWorker worker = startUnansweredWhileRenewalsAreDelayed(6_000, job);
+    simulation.run(300);
+    worker.disconnected = true;
+    long lastOrder = simulation.now;
+    simulation.run(6_000);
+    assertStartsElsewhereAfterLease(worker, taskOf(job[0]), lastOrder);
+  }
+
+  /**
+   * Delays a start whose repetition is answered and reported; then its worker is disconnected and
+   * restarts behind the disconnection.
+   */
+  private SimulatedWorker delayAnsweredStartUntilAfterUnseenRestart() {
+    delayNextStart(9_000);
+    Job job = submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    runUntil(() -> worker.runs(taskOf(job)), 1_000);
+    simulation.run(1_000);
+    worker.disconnected = true;
+    simulation.run(500);
+    simulation.restartUnseen(worker);
+    return worker;
+  }
+
+  /** Guards against a start beside a held-back copy of a start whose repetition was answered. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhileAnUnseenIncarnationCarriesOutACopyOfItsStart() {
+    SimulatedWorker worker = delayAnsweredStartUntilAfterUnseenRestart();
+    long lastOrder = simulation.now;
+    simulation.run(7_000);
+    assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
+  }
+
+  /** Guards against a stored stop of renewals that leaves out the longest delay of an order. */
+  @Test
+  void aTaskDoesNotStartElsewhereAfterAStoredStopWhileAnUnseenIncarnationRunsIt() {
+    SimulatedWorker worker = delayAnsweredStartUntilAfterUnseenRestart();
+    long lastOrder = simulation.now;
+    simulation.run(2_500);
+    WorkerRecord record = (WorkerRecord) simulation.store.get("worker/" + worker.id);
+    assertTrue(record.renewalStop() > 0);
+    simulation.replaceOwnerKnownToHaveEnded();
+    simulation.run(4_500);
+    assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
+  }
+
+  /** Guards against a start beside a delayed one of a worker that reported and restarted unseen. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhereItsWorkerReportedWithoutItAndRestartedUnseen() {
+    List<Order> polls = new ArrayList<>();
+    simulation.outcomes =
+        order -> {
+          if (order instanceof Order.Poll) {
+            polls.add(order);
+          }
+          return answer(order);
+        };
+    runUntil(() -> !polls.isEmpty(), 1_500);
+    simulation.run(900);
+    delayNextStart(9_000);
+    Job job = submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    TaskId task = taskOf(job);
+    polls.clear();
+    simulation.outcomes =
+        order -> {
+          answer(order);
+          if (order instanceof Order.Poll && order.worker().id().equals(worker.id)) {
+            polls.add(order);
+          }
+          return order instanceof Order.Start start && start.worker().id().equals(worker.id)
+              ? PoolSimulation.OrderOutcome.delayed(100_000)
+              : PoolSimulation.OrderOutcome.answered();
+        };
+    // The second start has not timed out yet, and a poll after the first one was answered.
+    simulation.run(1_150);
+    assertTrue(polls.size() > 1);
+    worker.disconnected = true;
+    simulation.run(500);
+    simulation.restartUnseen(worker);
+    long lastOrder = simulation.now;
+    simulation.run(7_500);
+    assertStartsElsewhereAfterLease(worker, task, lastOrder);
+  }
+
+  /**
+   * Lets the worker of a reported task receive the starts of other tasks and delay them.
+   *
+   * @return the worker
+   */
+  private SimulatedWorker delayStartsBesideReportedTask(TaskId task) {
+    runUntil(() -> simulation.workers.stream().anyMatch(w -> w.runs(task)), 1_000);
+    simulation.run(2_500);
+    SimulatedWorker worker = workerOf(task);
+    int sentBefore = sentStarts.size();
+    simulation.outcomes =
+        order -> {
+          answer(order);
+          return order instanceof Order.Start start && start.worker().id().equals(worker.id)
+              ? PoolSimulation.OrderOutcome.delayed(7_000)
+              : PoolSimulation.OrderOutcome.answered();
+        };
+    submit(8);
+    runUntil(
+        () ->
+            sentStarts.stream()
+                .skip(sentBefore)
+                .anyMatch(start -> start.worker().id().equals(worker.id)),
+        1_000);
+    simulation.run(50);
+    simulation.outcomes = this::answer;
+    return worker;
+  }
+
+  private void assertStartsElsewhereWithin(SimulatedWorker worker, TaskId task, long millis) {
+    runUntil(() -> runsBeside(worker, task), millis);
+    simulation.run(MAX_ORDER_DELAY_MILLIS);
+    assertNoViolations();
+  }
+
+  /**
+   * Guards against reported tasks of a crashed worker that wait for unanswered starts of others.
+   */
+  @Test
+  void aReportedTaskOfACrashedWorkerDoesNotWaitForDelayedStartsOfOtherTasks() {
+    TaskId task = taskOf(submit(1));
+    SimulatedWorker worker = delayStartsBesideReportedTask(task);
+    worker.crash(simulation.now);
+    assertStartsElsewhereWithin(worker, task, TIMING.longestForeignLeaseMillis() + START_MILLIS);
+  }
+
+  /** Guards against the same wait where the restart of the worker is known. */
+  @Test
+  void aReportedTaskOfARestartedWorkerDoesNotWaitForDelayedStartsOfOtherTasks() {
+    TaskId task = taskOf(submit(1));
+    SimulatedWorker worker = delayStartsBesideReportedTask(task);
+    restart(worker);
+    simulation.run(450);
+    worker.disconnected = true;
+    assertStartsElsewhereWithin(
+        worker, task, TIMING.longestForeignLeaseMillis() + START_MILLIS - 450);
+  }
+
+  /** Guards against the same wait where a new owner relies on a stored stop of renewals. */
+  @Test
+  void aReportedTaskDoesNotWaitForDelayedStartsOfOtherTasksAfterAStoredStop() {
+    TaskId task = taskOf(submit(1));
+    SimulatedWorker worker = delayStartsBesideReportedTask(task);
+    worker.crash(simulation.now);
+    simulation.run(2_500);
+    assertTrue(((WorkerRecord) simulation.store.get("worker/" + worker.id)).renewalStop() > 0);
+    simulation.replaceOwnerKnownToHaveEnded();
+    assertStartsElsewhereWithin(
+        worker, task, TIMING.longestForeignLeaseMillis() + START_MILLIS - 2_500);
+  }
+
+  /** Guards against inherited tasks that wait for late orders where no worker has restarted. */
+  @Test
+  void anInheritedTaskWaitsForTheLongestLeaseOnlyWhereNoRestartIsKnown() {
+    TaskId task = taskOf(submit(1));
+    SimulatedWorker worker = delayStartsBesideReportedTask(task);
+    worker.disconnected = true;
+    simulation.replaceOwnerKnownToHaveEnded();
+    assertStartsElsewhereWithin(worker, task, TIMING.longestForeignLeaseMillis() + START_MILLIS);
+  }
+
+  /** Guards against inherited tasks that wait for late orders though each worker has reported. */
+  @Test
+  void anInheritedTaskStartsAtOnceWhenTheRestartedWorkerHasReported() {
+    Job job = submit(1);
+    SimulatedWorker worker = delayStartsBesideReportedTask(taskOf(job));
+    restart(worker);
+    simulation.run(450);
+    simulation.replaceOwnerKnownToHaveEnded();
+    runUntil(() -> simulation.workers.stream().anyMatch(w -> w.runs(taskOf(job))), START_MILLIS);
+    simulation.run(MAX_ORDER_DELAY_MILLIS);
+    assertNoViolations();
+  }
+
+  /** Guards against new jobs that wait for what a former owner may have ordered. */
+  @Test
+  void aTaskSubmittedToANewOwnerStartsAtOnceBesideARestartedSilentWorker() {
+    SimulatedWorker worker = delayStartUntilAfterRestart();
+    simulation.replaceOwnerKnownToHaveEnded();
+    simulation.run(1_000);
+    Job job = submit(1);
+    runUntil(() -> runsBeside(worker, taskOf(job)), START_MILLIS);
+  }
+}
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -20,6 +20,7 @@
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.StoredRecord;
+import org.lavenderstage.core.job.TaskId;
 
 /**
  * Simulates an owner, workers and a store under a virtual clock. Orders may be lost, answered late
@@ -61,6 +62,15 @@
   /** Whether a worker delays its report until a run ends, as long as the poll permits. */
   boolean longPolling;
 
+  /** Listings of disconnected workers that have restarted since; they are listed as before. */
+  private final Map<SimulatedWorker, WorkerListing> listingsBeforeUnseenRestart = new HashMap<>();
+
+  /** Starts that a worker has received and not carried out yet. */
+  private final List<DelayedStart> delayedStarts = new ArrayList<>();
+
+  /** Identifier of the worker that the latest start of a task was sent to. */
+  private final Map<TaskId, String> latestStartTargets = new HashMap<>();
+
   /** Workers that are not listed, though they may be up. */
   final Set<SimulatedWorker> unlisted = new HashSet<>();
 
@@ -132,6 +142,9 @@
   /** A replaced owner that cannot reach the store and gives orders until a given time. */
   private record PreviousOwner(JobScheduler scheduler, long untilMillis) {}
 
+  /** A start that a worker carries out later. */
+  private record DelayedStart(SimulatedWorker worker, TaskId task) {}
+
   /** An action scheduled for a given time. */
   private record Event(long atMillis, long number, Runnable action) {}
 
@@ -303,16 +316,40 @@
     }
   }
 
+  /** Restarts a disconnected worker in place; it is listed anew once it is connected again. */
+  void restartUnseen(SimulatedWorker worker) {
+    listingsBeforeUnseenRestart.putIfAbsent(worker, worker.listing());
+    worker.crash(now);
+    worker.restart(now);
+  }
+
+  /**
+   * Returns whether a worker will carry out a start of a task that is done, or that was ordered
+   * from another worker since.
+   */
+  boolean delaysOutdatedStart(SimulatedWorker worker) {
+    return delayedStarts.stream()
+        .filter(start -> start.worker() == worker)
+        .anyMatch(
+            start ->
+                oracle.isDone(start.task())
+                    || !worker.id.equals(latestStartTargets.get(start.task())));
+  }
+
   private void publishListing(SimulatedWorker worker) {
     boolean listed = worker.up && !unlisted.contains(worker);
+    if (!worker.disconnected) {
+      listingsBeforeUnseenRestart.remove(worker);
+    }
+    WorkerListing present = listingsBeforeUnseenRestart.getOrDefault(worker, worker.listing());
     if (listingsSentOnChange) {
-      Optional<WorkerListing> listing = listed ? Optional.of(worker.listing()) : Optional.empty();
+      Optional<WorkerListing> listing = listed ? Optional.of(present) : Optional.empty();
       if (!listing.equals(sentListings.put(worker.id, listing))) {
         JobScheduler recipient = owner;
         schedule(listingDelayMillis, () -> deliverListing(recipient, worker.id, listing));
       }
     } else if (listed && !isPaused(owner)) {
-      owner.workerListed(worker.listing());
+      owner.workerListed(present);
     }
   }
 
@@ -363,6 +400,9 @@
 
   private void send(Order order, JobScheduler sender) {
     boolean fails = random.nextDouble() < failingRunRate;
+    if (order instanceof Order.Start start) {
+      latestStartTargets.put(start.run().task().id(), start.worker().id());
+    }
     Optional<OrderOutcome> outcome = outcomes.apply(order);
     boolean delayed =
         outcome.map(given -> given.delayMillis() > 0).orElseGet(() -> occurs(delayedOrderRate));
@@ -450,9 +490,15 @@
     if (receiver.isPresent() && received) {
       SimulatedWorker worker = receiver.get();
       long incarnation = worker.startMillis;
+      Optional<DelayedStart> delayedStart =
+          order instanceof Order.Start start
+              ? Optional.of(new DelayedStart(worker, start.run().task().id()))
+              : Optional.empty();
+      delayedStart.ifPresent(delayedStarts::add);
       schedule(
           millis,
           () -> {
+            delayedStart.ifPresent(delayedStarts::remove);
             boolean reachesIncarnation =
                 delayedOrdersReachOtherIncarnations || worker.startMillis == incarnation;
             if (reachesIncarnation
