Count how long delayed orders may hold on a worker that may have restarted

Cause: an order without an answer may be carried out up to 12 s later, also by the next incarnation of its worker, which knows no token and grants its longest lease from then on; delayed renewals prolong it. Owners counted the lease from the time-out, and a new owner from its claim. Change: one bound in WorkerLeases, the last order that grants a lease + the longest delay + the longest lease. LateOrders says for whom it holds: on a silent worker whose restart is known and not confirmed, for tasks whose start is without an answer or came after the last report, and for a new owner for what it inherits; on any other silent worker, for the starts that it held back while it answered later polls, since it may restart where nobody sees it. All others wait as before. Records of workers say whether a restart is unconfirmed and which tasks may start late, for a later owner.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -379,7 +379,7 @@
       remainingStarts--;
       long leaseUntilMillis = workers.leases().grant(worker, nowMillis);
       run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
-      orders.add(new Order.Start(worker, run, leaseUntilMillis));
+      orders.add(new Order.Start(worker, run, leaseUntilMillis, nowMillis));
     } else if (run.state() == Run.State.STOPPING) {
       run.recordOrderSent();
       orders.add(new Order.Stop(worker, run));
--- a/core/src/main/java/org/lavenderstage/core/pool/Order.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Order.java
@@ -26,11 +26,13 @@
    * @param worker the worker
    * @param run the run
    * @param leaseUntilMillis end of the lease on the worker's clock in milliseconds
+   * @param sentAtMillis monotonic time of the owner when the order was created
    * @param fencingToken fencing token
    */
-  record Start(Worker worker, Run run, long leaseUntilMillis, long fencingToken) implements Order {
-    Start(Worker worker, Run run, long leaseUntilMillis) {
-      this(worker, run, leaseUntilMillis, worker.fence().token());
+  record Start(Worker worker, Run run, long leaseUntilMillis, long sentAtMillis, long fencingToken)
+      implements Order {
+    Start(Worker worker, Run run, long leaseUntilMillis, long sentAtMillis) {
+      this(worker, run, leaseUntilMillis, sentAtMillis, worker.fence().token());
     }
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -58,10 +58,14 @@
         new RenewalStop(
             record.renewalStop(),
             record.sinceRenewalMillis(),
-            Optional.ofNullable(record.mayRun()).map(Set::copyOf));
+            Optional.ofNullable(record.mayRun()).map(Set::copyOf),
+            Optional.ofNullable(record.mayStartLate()).map(Set::copyOf).orElse(Set.of()));
     worker.renewal().stop(stop);
     long knownSinceMillis = renewalStops.knownSinceMillis(stop.number()).orElse(nowMillis);
-    worker.extendLease(knownSinceMillis - stop.sinceRenewalMillis() + timing.longestLeaseMillis());
+    worker
+        .lease()
+        .extend(knownSinceMillis - stop.sinceRenewalMillis() + timing.longestLeaseMillis());
+    worker.lease().recordOrder(knownSinceMillis - Math.max(0, stop.sinceRenewalMillis()));
     lastStoredNumber = Math.max(lastStoredNumber, stop.number());
     return true;
   }
@@ -77,14 +81,15 @@
         || !worker.isRecordStored()) {
       return false;
     }
-    long renewedMillis = worker.leaseExpiryMillis() - timing.longestLeaseMillis();
+    long renewedMillis = worker.lease().expiryMillis() - timing.longestLeaseMillis();
     Set<String> tasks = tasksThatMayRun(worker, nowMillis);
     boolean listed = worker.isEachRunTracked() && tasks.size() <= MAX_LISTED_TASKS;
     RenewalStop stop =
         new RenewalStop(
             ++lastNumber,
             nowMillis - renewedMillis,
-            listed ? Optional.of(Set.copyOf(tasks)) : Optional.empty());
+            listed ? Optional.of(Set.copyOf(tasks)) : Optional.empty(),
+            LateOrders.tasksThatMayStartLate(worker));
     worker.renewal().stop(stop);
     log.record(
         Decision.RENEWAL_STOPPED,
@@ -95,7 +100,9 @@
         "since-renewal-ms",
         stop.sinceRenewalMillis(),
         "tasks",
-        listed ? tasks.size() : "unknown");
+        listed ? tasks.size() : "unknown",
+        "late",
+        stop.mayStartLate().size());
     return true;
   }
 
@@ -120,7 +127,9 @@
         stop.isPresent() ? term : 0,
         stop.map(RenewalStop::number).orElse(0L),
         stop.map(RenewalStop::sinceRenewalMillis).orElse(0L),
-        stop.flatMap(RenewalStop::mayRun).map(List::copyOf).orElse(null));
+        stop.flatMap(RenewalStop::mayRun).map(List::copyOf).orElse(null),
+        worker.fence().isRestartPending(),
+        stop.map(RenewalStop::mayStartLate).map(List::copyOf).orElse(List.of()));
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -56,9 +56,12 @@
     fenced = true;
   }
 
-  void handleStartResult(Worker worker, Run run, OrderResult result, long nowMillis) {
+  void handleStartResult(Order.Start start, OrderResult result, long nowMillis) {
+    Worker worker = start.worker();
+    Run run = start.run();
     if (result instanceof OrderResult.Unanswered) {
-      worker.unansweredOrders().recordStart(run.task().id(), run.attempt(), nowMillis);
+      boolean heldBack = worker.lastReportPolledMillis() >= start.sentAtMillis();
+      worker.unansweredOrders().recordStart(start, heldBack, nowMillis);
       run.recordStartUnanswered();
     }
     run.recordOrderEnded(nowMillis + REPEAT_PAUSE_MILLIS);
--- a/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
@@ -1,6 +1,8 @@
 package org.lavenderstage.core.pool;
 
 import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -8,19 +10,22 @@
 /** Tells which tasks may have a run of a previous owner that its worker has not reported yet. */
 final class UnreportedRuns {
   private final Collection<Worker> workers;
+  private final LateOrders lateOrders;
 
   /**
    * Creates a view.
    *
    * @param workers the workers, which may change
+   * @param lateOrders tells which workers may have runs after their leases
    */
-  UnreportedRuns(Collection<Worker> workers) {
+  UnreportedRuns(Collection<Worker> workers, LateOrders lateOrders) {
     this.workers = workers;
+    this.lateOrders = lateOrders;
   }
 
   /** Returns whether any task may have a run of a previous owner that is not reported yet. */
   boolean isAnyTaskConcerned(long nowMillis) {
-    return unreported(nowMillis).anyMatch(worker -> !isEachTaskListed(worker));
+    return unreported(nowMillis).anyMatch(worker -> tasks(worker, nowMillis).isEmpty());
   }
 
   /** Counts the workers of a previous owner that may have runs not reported yet. */
@@ -31,21 +36,24 @@
   /** Returns the listed tasks that may have a run of a previous owner that is not reported yet. */
   Set<String> listedTasks(long nowMillis) {
     return unreported(nowMillis)
-        .filter(UnreportedRuns::isEachTaskListed)
-        .flatMap(worker -> worker.renewal().stop().orElseThrow().mayRun().orElseThrow().stream())
+        .flatMap(worker -> tasks(worker, nowMillis).stream())
+        .flatMap(List::stream)
         .collect(Collectors.toSet());
   }
 
   private Stream<Worker> unreported(long nowMillis) {
     return workers.stream()
+        .filter(worker -> worker.isRecordStored() && !worker.hasReportedCompletely())
         .filter(
-            w ->
-                w.isRecordStored()
-                    && !w.hasReportedCompletely()
-                    && nowMillis <= w.leaseExpiryMillis());
+            worker ->
+                nowMillis <= worker.lease().expiryMillis()
+                    || lateOrders.mayHaveInheritedRuns(worker, nowMillis));
   }
 
-  private static boolean isEachTaskListed(Worker worker) {
-    return worker.renewal().stop().flatMap(RenewalStop::mayRun).isPresent();
+  /** Returns the tasks that may run on a worker, empty if any inherited task may run there. */
+  private static Optional<List<String>> tasks(Worker worker, long nowMillis) {
+    return nowMillis <= worker.lease().expiryMillis()
+        ? worker.renewal().stop().flatMap(RenewalStop::mayRun).map(List::copyOf)
+        : LateOrders.inheritedTasks(worker);
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -30,6 +30,7 @@
   private boolean recordStored;
   private boolean recordMayBeStored;
   private boolean recordRemoved;
+  private boolean recordSentWithRestart;
   private long storedStartedAtMillis;
   private final LeaseRenewal renewal = new LeaseRenewal();
   private boolean inherited;
@@ -37,7 +38,8 @@
   private boolean reportedCompletely;
   private long clockOffsetMillis;
   private boolean clockKnown;
-  private long leaseExpiryMillis;
+  private final LeaseCount lease = new LeaseCount();
+  private long lastReportPolledMillis = Long.MIN_VALUE / 2;
   private EndedRunNumbers ends = new EndedRunNumbers();
   private boolean pollInFlight;
   private String polledAddress = "";
@@ -100,6 +102,7 @@
     startedAtMillis = newStartedAtMillis;
     ends = new EndedRunNumbers();
     clockKnown = false;
+    lastReportPolledMillis = Long.MIN_VALUE / 2;
   }
 
   /** Returns the fencing token of the orders to this worker. */
@@ -124,9 +127,15 @@
 
   void markRecordSent() {
     recordMayBeStored = true;
+    recordSentWithRestart = fence.isRestartPending();
     renewal.recordSent();
   }
 
+  /** Returns whether the record that was sent last says that the worker may have restarted. */
+  boolean isRecordSentWithRestart() {
+    return recordSentWithRestart;
+  }
+
   /** Returns whether the worker's leases are renewed. */
   LeaseRenewal renewal() {
     return renewal;
@@ -206,18 +215,18 @@
     return monotonicMillis + clockOffsetMillis;
   }
 
-  /** Returns the monotonic time after which no run here has a valid lease. */
-  long leaseExpiryMillis() {
-    return leaseExpiryMillis;
+  /** Returns until when runs here may have a valid lease. */
+  LeaseCount lease() {
+    return lease;
   }
 
-  void extendLease(long leaseEndMillis) {
-    leaseExpiryMillis = Math.max(leaseExpiryMillis, leaseEndMillis);
+  /** Returns when the poll was sent that the worker answered last, in monotonic millis. */
+  long lastReportPolledMillis() {
+    return lastReportPolledMillis;
   }
 
-  /** Records that the current incarnation of the worker and its runs have ended. */
-  void expireLease(long monotonicMillis) {
-    leaseExpiryMillis = monotonicMillis - 1;
+  void recordReportPolled(long polledMillis) {
+    lastReportPolledMillis = Math.max(lastReportPolledMillis, polledMillis);
   }
 
   /** Returns the numbers of the ended runs of the current incarnation. */
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerFence.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerFence.java
@@ -15,6 +15,7 @@
   private long token;
   private boolean confirmed;
   private boolean polled;
+  private boolean restartPending;
 
   /**
    * Creates the fence of a worker that has not reported yet.
@@ -48,6 +49,15 @@
     return (token & ((1L << RESTART_BITS) - 1)) != 0;
   }
 
+  /**
+   * Returns whether the worker may have restarted and has not answered a poll with the token that
+   * was raised for that. Until then its incarnation may know no token, and carry out any order that
+   * was sent before.
+   */
+  boolean isRestartPending() {
+    return restartPending;
+  }
+
   /** Returns whether a poll with the current token was sent. */
   boolean isPolled() {
     return polled;
@@ -65,6 +75,7 @@
     token++;
     confirmed = false;
     polled = false;
+    restartPending = true;
   }
 
   /**
@@ -79,6 +90,7 @@
       return false;
     }
     confirmed = true;
+    restartPending = false;
     return true;
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerLeases.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerLeases.java
@@ -8,6 +8,12 @@
   /** Largest error of the owner's estimate of a worker's clock, in milliseconds. */
   private static final long MAX_CLOCK_ERROR_MILLIS = 500;
 
+  /**
+   * Longest time from sending an order to its execution in milliseconds; delays of 12 s have
+   * occurred.
+   */
+  static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+
   private final PoolTiming timing;
 
   WorkerLeases(PoolTiming timing) {
@@ -16,7 +22,8 @@
 
   /** Grants a new lease and returns its end on the worker's clock. */
   long grant(Worker worker, long nowMillis) {
-    worker.extendLease(nowMillis + timing.longestLeaseMillis());
+    worker.lease().extend(nowMillis + timing.longestLeaseMillis());
+    worker.lease().recordOrder(nowMillis);
     return worker.clockAt(nowMillis) + timing.leaseMillis();
   }
 
@@ -26,7 +33,18 @@
    * the previous incarnation.
    */
   void extendForeign(Worker worker, long nowMillis) {
-    worker.extendLease(nowMillis + timing.longestForeignLeaseMillis());
+    worker.lease().extend(nowMillis + timing.longestForeignLeaseMillis());
+  }
+
+  /**
+   * Returns the monotonic time after which no run has a valid lease, even if the worker restarted
+   * unnoticed and its new incarnation, which knows no token, carried out the orders late that its
+   * previous one had received.
+   */
+  long lateLeaseExpiryMillis(Worker worker) {
+    return worker.lease().lastOrderMillis()
+        + MAX_ORDER_DELAY_MILLIS
+        + timing.longestForeignLeaseMillis();
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -28,7 +28,8 @@
   private final DecisionLog log;
   private final RenewalPolicy renewals;
   private final WorkerRecords records;
-  private final UnreportedRuns unreportedRuns = new UnreportedRuns(workers.values());
+  private final LateOrders lateOrders;
+  private final UnreportedRuns unreportedRuns;
 
   /** First fencing token of the next worker; higher than those of the removed workers. */
   private long nextFirstToken;
@@ -41,6 +42,8 @@
     this.runs = runs;
     restartedRuns = new RestartedRuns(runs);
     leases = new WorkerLeases(timing);
+    lateOrders = new LateOrders(leases);
+    unreportedRuns = new UnreportedRuns(workers.values(), lateOrders);
     this.log = log;
     renewals = new RenewalPolicy(term, timing, log);
     records = new WorkerRecords(renewals);
@@ -81,7 +84,11 @@
       records.markChanged(worker);
     } else {
       // The previous owner's orders may have reached an incarnation with another clock.
-      worker.extendLease(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
+      worker.lease().extend(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
+      worker.lease().recordOrder(previousOwnerInactiveMillis);
+    }
+    if (record.restartPending()) {
+      raiseToken(worker, "record");
     }
     workers.put(worker.id(), worker);
   }
@@ -130,6 +137,9 @@
 
   private void raiseToken(Worker worker, String cause) {
     worker.fence().raise();
+    if (worker.mayHaveRecord()) {
+      records.markChanged(worker);
+    }
     log.record(
         Decision.TOKEN_RAISED,
         "worker",
@@ -139,7 +149,7 @@
         "fencing-token",
         worker.fence().token(),
         "unanswered-starts",
-        worker.unansweredOrders().count());
+        worker.unansweredOrders().countSinceLastReport());
   }
 
   /**
@@ -172,17 +182,16 @@
     Iterator<Worker> all = workers.values().iterator();
     while (all.hasNext()) {
       Worker worker = all.next();
-      boolean leaseExpired = nowMillis > worker.leaseExpiryMillis();
+      boolean leaseExpired = nowMillis > worker.lease().expiryMillis();
       if (worker.listing().map(WorkerListing::draining).orElse(false)) {
         runs.evacuate(worker, nowMillis);
         removeRecordIfEmpty(worker, nowMillis);
       }
       if (leaseExpired && worker.isUnresponsive() && !worker.isIdle()) {
-        markAllLost(worker, "lease expired");
+        markExpired(worker, nowMillis);
       }
-      if ((leaseExpired || isEmpty(worker, nowMillis))
-          && worker.isUnresponsive()
-          && worker.listing().isEmpty()) {
+      boolean noRuns = leaseExpired ? isOver(worker, nowMillis) : isEmpty(worker, nowMillis);
+      if (noRuns && worker.isUnresponsive() && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         records.discard(worker);
         nextFirstToken = Math.max(nextFirstToken, worker.fence().token() + 1);
@@ -212,7 +221,22 @@
   private static boolean isEmpty(Worker worker, long nowMillis) {
     return worker.hasReported()
         && worker.isIdle()
-        && worker.unansweredOrders().starts(nowMillis).isEmpty();
+        && !worker.unansweredOrders().isAnyPending(nowMillis);
+  }
+
+  /** Returns whether nothing can run on a worker whose leases have expired. */
+  private boolean isOver(Worker worker, long nowMillis) {
+    boolean inheritedOver =
+        worker.hasReportedCompletely() || !lateOrders.mayHaveInheritedRuns(worker, nowMillis);
+    return worker.isIdle() && inheritedOver;
+  }
+
+  /** Marks the runs as lost whose leases have expired, except those that may start late. */
+  private void markExpired(Worker worker, long nowMillis) {
+    worker.runs().stream()
+        .filter(run -> !lateOrders.mayRun(worker, run, nowMillis))
+        .forEach(run -> runs.markLost(worker, run, "lease expired"));
+    worker.setReported(false);
   }
 
   /**
@@ -243,7 +267,7 @@
     if (otherIncarnation || result instanceof OrderResult.Unanswered) {
       leases.extendForeign(worker, nowMillis);
     }
-    runs.handleStartResult(worker, start.run(), result, nowMillis);
+    runs.handleStartResult(start, result, nowMillis);
   }
 
   /** Handles the result of a poll. */
@@ -273,7 +297,7 @@
         // once.
         worker.recordPollEnded(
             false, wasUnresponsive ? nowMillis + POLL_RETRY_PAUSE_MILLIS : nowMillis);
-        boolean mayStart = !worker.unansweredOrders().starts(nowMillis).isEmpty();
+        boolean mayStart = worker.unansweredOrders().isAnyPending(nowMillis);
         if (order.leaseUntilMillis() > 0 && mayStart) {
           leases.extendForeign(worker, nowMillis);
         }
@@ -291,7 +315,7 @@
               "token-confirmed",
               worker.fence().isConfirmed(),
               "lease-over-in",
-              worker.leaseExpiryMillis() - nowMillis);
+              worker.lease().expiryMillis() - nowMillis);
         }
         // A stop cannot be relied upon as long as a previous owner may still renew the leases.
         if (nowMillis >= previousOwnerInactiveMillis && renewals.stopIfDue(worker, nowMillis)) {
@@ -315,7 +339,7 @@
     } else if (reason == Rejection.OTHER_INCARNATION && worker.isPolledAtListedAddress()) {
       markAllLost(worker, "another worker has its address");
       worker.setListing(Optional.empty());
-      worker.expireLease(nowMillis);
+      worker.lease().expire(nowMillis);
     }
   }
 
@@ -328,6 +352,9 @@
       raiseToken(worker, "report");
     }
     boolean confirmed = worker.fence().recordReport(order.fencingToken());
+    if (confirmed && worker.isRecordSentWithRestart()) {
+      records.markChanged(worker);
+    }
     if (restarted || (confirmed && worker.fence().isRaised())) {
       leases.extendForeign(worker, nowMillis);
     }
@@ -337,6 +364,10 @@
       worker.ends().recordAcknowledged(order.acknowledgedUpTo());
     }
     worker.sampleClock(report.clockMillis(), nowMillis);
+    if (worker.fence().isConfirmed()) {
+      worker.recordReportPolled(order.sentAtMillis());
+    }
+    worker.unansweredOrders().recordReport(order.sentAtMillis());
     if (report.isComplete()) {
       worker.markReportedCompletely();
     }
@@ -392,7 +423,7 @@
         "former",
         previousStart,
         "lease-over-in",
-        worker.leaseExpiryMillis() - nowMillis,
+        worker.lease().expiryMillis() - nowMillis,
         "fencing-token",
         worker.fence().token());
     restartedRuns.handleRestart(worker, report, polledAtMillis, nowMillis);
--- a/core/src/test/java/org/lavenderstage/core/pool/InheritedFailuresTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InheritedFailuresTest.java
@@ -40,7 +40,7 @@
   }
 
   private static WorkerRecord stored(String id) {
-    return new WorkerRecord(id, "1", "10.0.0.1:80", 0, 0, 0, 0, null);
+    return new WorkerRecord(id, "1", "10.0.0.1:80", 0, 0, 0, 0, null, false, null);
   }
 
   private static WorkerListing listing(String id) {
--- a/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
@@ -125,7 +125,9 @@
             record.renewalStopTerm() - 1,
             record.renewalStop(),
             record.sinceRenewalMillis(),
-            record.mayRun()));
+            record.mayRun(),
+            record.restartPending(),
+            record.mayStartLate()));
     simulation.replaceOwner();
     simulation.run(LEASE_MILLIS);
     assertFalse(runs(firstTask(job)));
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnerInterleavingTest.java
@@ -216,7 +216,16 @@
         List.of(
             job(1, WALL_MILLIS + 200),
             new WorkerRecord(
-                "w1", Long.toString(WORKER_STARTED_AT_MILLIS), "10.0.0.1:1", 0, 0, 0, 0, null));
+                "w1",
+                Long.toString(WORKER_STARTED_AT_MILLIS),
+                "10.0.0.1:1",
+                0,
+                0,
+                0,
+                0,
+                null,
+                false,
+                null));
     scheduler.load(stored, new RenewalStops(), nowMillis, WALL_MILLIS);
     scheduler.workerListed(listing("w1", "10.0.0.1:1"));
     stepAfter(10);
@@ -244,9 +253,27 @@
         List.of(
             job(0, 0),
             new WorkerRecord(
-                "w1", Long.toString(WORKER_STARTED_AT_MILLIS), "10.0.0.1:1", 0, 0, 0, 0, null),
+                "w1",
+                Long.toString(WORKER_STARTED_AT_MILLIS),
+                "10.0.0.1:1",
+                0,
+                0,
+                0,
+                0,
+                null,
+                false,
+                null),
             new WorkerRecord(
-                "w2", Long.toString(WORKER_STARTED_AT_MILLIS), "10.0.0.2:1", 0, 0, 0, 0, null));
+                "w2",
+                Long.toString(WORKER_STARTED_AT_MILLIS),
+                "10.0.0.2:1",
+                0,
+                0,
+                0,
+                0,
+                null,
+                false,
+                null));
     scheduler.load(stored, new RenewalStops(), nowMillis, WALL_MILLIS);
     stepAfter(10);
     List<Order.Poll> first = sentPolls();
@@ -271,9 +298,27 @@
         List.of(
             job(0, 0),
             new WorkerRecord(
-                "w1", Long.toString(WORKER_STARTED_AT_MILLIS), "10.0.0.1:1", 0, 0, 0, 0, null),
+                "w1",
+                Long.toString(WORKER_STARTED_AT_MILLIS),
+                "10.0.0.1:1",
+                0,
+                0,
+                0,
+                0,
+                null,
+                false,
+                null),
             new WorkerRecord(
-                "w2", Long.toString(WORKER_STARTED_AT_MILLIS), "10.0.0.2:1", 0, 0, 0, 0, null));
+                "w2",
+                Long.toString(WORKER_STARTED_AT_MILLIS),
+                "10.0.0.2:1",
+                0,
+                0,
+                0,
+                0,
+                null,
+                false,
+                null));
     scheduler.load(stored, new RenewalStops(), nowMillis, WALL_MILLIS);
     scheduler.workerListed(listing("w1", "10.0.0.1:1"));
     scheduler.workerListed(listing("w2", "10.0.0.2:1"));
