--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -1,15 +1,11 @@
 package org.lavenderstage.core.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.WorkerRecord;
 
 /**
@@ -25,15 +21,15 @@
   private static final long UNSTORED_POLL_PAUSE_MILLIS = 500;
 
   private final Map<String, Worker> workers = new LinkedHashMap<>();
-  private final Set<Worker> unstoredWorkers = new LinkedHashSet<>();
-  private final List<StoredChange> removals = new ArrayList<>();
   private final PoolTiming timing;
   private final RunTracker runs;
   private final RestartedRuns restartedRuns;
   private final WorkerLeases leases;
   private final DecisionLog log;
   private final RenewalPolicy renewals;
-  private final UnreportedRuns unreportedRuns = new UnreportedRuns(workers.values());
+  private final WorkerRecords records;
+  private final LateOrders lateOrders;
+  private final UnreportedRuns unreportedRuns;
 
   /** First fencing token of the next worker; higher than those of the removed workers. */
   private long nextFirstToken;
@@ -46,8 +42,11 @@
     this.runs = runs;
     restartedRuns = new RestartedRuns(runs);
     leases = new WorkerLeases(timing);
+    lateOrders = new LateOrders(leases);
+    unreportedRuns = new UnreportedRuns(workers.values(), lateOrders);
     this.log = log;
     renewals = new RenewalPolicy(term, timing, log);
+    records = new WorkerRecords(renewals);
   }
 
   Collection<Worker> all() {
@@ -58,6 +57,11 @@
     return Optional.ofNullable(workers.get(id));
   }
 
+  /** Returns the stored records of the workers and their pending changes. */
+  WorkerRecords records() {
+    return records;
+  }
+
   /** Returns the leases of the workers. */
   WorkerLeases leases() {
     return leases;
@@ -77,10 +81,14 @@
     worker.ends().recordStored(record.notedUpTo());
     previousOwnerInactiveMillis = nowMillis + timing.previousOwnerRenewalMillis();
     if (renewals.restore(worker, record, renewalStops, nowMillis)) {
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     } else {
       // The previous owner's orders may have reached an incarnation with another clock.
-      worker.extendLease(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
+      worker.lease().extend(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
+      worker.lease().recordOrder(previousOwnerInactiveMillis);
+    }
+    if (record.restartPending()) {
+      raiseToken(worker, "record");
     }
     workers.put(worker.id(), worker);
   }
@@ -92,16 +100,17 @@
     boolean changed = !worker.listing().equals(Optional.of(listing));
     long previouslyListedStart = worker.listing().map(WorkerListing::startedAtMillis).orElse(0L);
     worker.setListing(Optional.of(listing));
+    boolean restarted =
+        worker.startedAtMillis() != 0
+            && indicatesNewIncarnation(listing, previouslyListedStart, worker);
     if (worker.startedAtMillis() == 0) {
       worker.setStartedAtMillis(listing.startedAtMillis());
-    } else if (indicatesNewIncarnation(listing, previouslyListedStart, worker)) {
-      worker.fence().raise();
     }
     if (worker.isRecordRemoved() && !listing.draining()) {
       worker.setRecordRemoved(false);
     }
     if (!worker.isRecordStored() && !worker.isRecordRemoved()) {
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     }
     if (changed) {
       log.record(
@@ -121,6 +130,26 @@
           "known-born",
           worker.startedAtMillis());
     }
+    if (restarted) {
+      raiseToken(worker, "listing");
+    }
+  }
+
+  private void raiseToken(Worker worker, String cause) {
+    worker.fence().raise();
+    if (worker.mayHaveRecord()) {
+      records.markChanged(worker);
+    }
+    log.record(
+        Decision.TOKEN_RAISED,
+        "worker",
+        worker.id(),
+        "cause",
+        cause,
+        "fencing-token",
+        worker.fence().token(),
+        "unanswered-starts",
+        worker.unansweredOrders().countSinceLastReport());
   }
 
   /**
@@ -153,19 +182,18 @@
     Iterator<Worker> all = workers.values().iterator();
     while (all.hasNext()) {
       Worker worker = all.next();
-      boolean leaseExpired = nowMillis > worker.leaseExpiryMillis();
+      boolean leaseExpired = nowMillis > worker.lease().expiryMillis();
       if (worker.listing().map(WorkerListing::draining).orElse(false)) {
         runs.evacuate(worker, nowMillis);
         removeRecordIfEmpty(worker, nowMillis);
       }
       if (leaseExpired && worker.isUnresponsive() && !worker.isIdle()) {
-        markAllLost(worker, "lease expired");
+        markExpired(worker, nowMillis);
       }
-      if ((leaseExpired || isEmpty(worker, nowMillis))
-          && worker.isUnresponsive()
-          && worker.listing().isEmpty()) {
+      boolean noRuns = leaseExpired ? isOver(worker, nowMillis) : isEmpty(worker, nowMillis);
+      if (noRuns && worker.isUnresponsive() && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
-        removeRecord(worker);
+        records.discard(worker);
         nextFirstToken = Math.max(nextFirstToken, worker.fence().token() + 1);
         all.remove();
       } else if (worker.isPollDue(nowMillis)) {
@@ -183,9 +211,9 @@
     if (allAcknowledged
         && isEmpty(worker, nowMillis)
         && !worker.isUnresponsive()
-        && !unstoredWorkers.contains(worker)) {
+        && !records.isChanged(worker)) {
       worker.setRecordRemoved(true);
-      removals.add(StoredChange.deleteWorker(worker.id()));
+      records.remove(worker);
     }
   }
 
@@ -193,14 +221,22 @@
   private static boolean isEmpty(Worker worker, long nowMillis) {
     return worker.hasReported()
         && worker.isIdle()
-        && worker.unansweredOrders().starts(nowMillis).isEmpty();
+        && !worker.unansweredOrders().isAnyPending(nowMillis);
   }
 
-  private void removeRecord(Worker worker) {
-    unstoredWorkers.remove(worker);
-    if (worker.mayHaveRecord()) {
-      removals.add(StoredChange.deleteWorker(worker.id()));
-    }
+  /** Returns whether nothing can run on a worker whose leases have expired. */
+  private boolean isOver(Worker worker, long nowMillis) {
+    boolean inheritedOver =
+        worker.hasReportedCompletely() || !lateOrders.mayHaveInheritedRuns(worker, nowMillis);
+    return worker.isIdle() && inheritedOver;
+  }
+
+  /** Marks the runs as lost whose leases have expired, except those that may start late. */
+  private void markExpired(Worker worker, long nowMillis) {
+    worker.runs().stream()
+        .filter(run -> !lateOrders.mayRun(worker, run, nowMillis))
+        .forEach(run -> runs.markLost(worker, run, "lease expired"));
+    worker.setReported(false);
   }
 
   /**
@@ -226,12 +262,12 @@
     Worker worker = start.worker();
     boolean otherIncarnation = leases.isOnOtherClock(start, result);
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
-      worker.fence().raise();
+      raiseToken(worker, "clock");
     }
     if (otherIncarnation || result instanceof OrderResult.Unanswered) {
       leases.extendForeign(worker, nowMillis);
     }
-    runs.handleStartResult(worker, start.run(), result, nowMillis);
+    runs.handleStartResult(start, result, nowMillis);
   }
 
   /** Handles the result of a poll. */
@@ -250,7 +286,7 @@
         }
         if (worker.renewal().stop().isPresent()) {
           worker.renewal().resume();
-          unstoredWorkers.add(worker);
+          records.markChanged(worker);
         }
         handleReport(order, reported.report(), nowMillis, wallMillis, orders);
       }
@@ -261,7 +297,7 @@
         // once.
         worker.recordPollEnded(
             false, wasUnresponsive ? nowMillis + POLL_RETRY_PAUSE_MILLIS : nowMillis);
-        boolean mayStart = !worker.unansweredOrders().starts(nowMillis).isEmpty();
+        boolean mayStart = worker.unansweredOrders().isAnyPending(nowMillis);
         if (order.leaseUntilMillis() > 0 && mayStart) {
           leases.extendForeign(worker, nowMillis);
         }
@@ -273,11 +309,17 @@
               "cause",
               unanswered.cause(),
               "runs",
-              worker.runs().size());
+              worker.runs().size(),
+              "unanswered-starts",
+              worker.unansweredOrders().starts(nowMillis).size(),
+              "token-confirmed",
+              worker.fence().isConfirmed(),
+              "lease-over-in",
+              worker.lease().expiryMillis() - nowMillis);
         }
         // A stop cannot be relied upon as long as a previous owner may still renew the leases.
         if (nowMillis >= previousOwnerInactiveMillis && renewals.stopIfDue(worker, nowMillis)) {
-          unstoredWorkers.add(worker);
+          records.markChanged(worker);
         }
       }
       case OrderResult.Accepted accepted ->
@@ -297,7 +339,7 @@
     } else if (reason == Rejection.OTHER_INCARNATION && worker.isPolledAtListedAddress()) {
       markAllLost(worker, "another worker has its address");
       worker.setListing(Optional.empty());
-      worker.expireLease(nowMillis);
+      worker.lease().expire(nowMillis);
     }
   }
 
@@ -307,9 +349,12 @@
     boolean restarted =
         report.startedAtMillis() != 0 && report.startedAtMillis() != worker.startedAtMillis();
     if (restarted && worker.fence().isConfirmed()) {
-      worker.fence().raise();
+      raiseToken(worker, "report");
     }
     boolean confirmed = worker.fence().recordReport(order.fencingToken());
+    if (confirmed && worker.isRecordSentWithRestart()) {
+      records.markChanged(worker);
+    }
     if (restarted || (confirmed && worker.fence().isRaised())) {
       leases.extendForeign(worker, nowMillis);
     }
@@ -319,6 +364,10 @@
       worker.ends().recordAcknowledged(order.acknowledgedUpTo());
     }
     worker.sampleClock(report.clockMillis(), nowMillis);
+    if (worker.fence().isConfirmed()) {
+      worker.recordReportPolled(order.sentAtMillis());
+    }
+    worker.unansweredOrders().recordReport(order.sentAtMillis());
     if (report.isComplete()) {
       worker.markReportedCompletely();
     }
@@ -344,7 +393,7 @@
     }
     if (worker.ends().seenUpTo() > seenBefore) {
       worker.setRecordRemoved(false);
-      unstoredWorkers.add(worker);
+      records.markChanged(worker);
     }
     if (worker.ends().seenUpTo() > worker.ends().storedUpTo()) {
       worker.recordPollEnded(true, nowMillis + UNSTORED_POLL_PAUSE_MILLIS);
@@ -361,7 +410,7 @@
     long previousStart = worker.startedAtMillis();
     worker.beginIncarnation(report.startedAtMillis());
     worker.setRecordRemoved(false);
-    unstoredWorkers.add(worker);
+    records.markChanged(worker);
     if (!known) {
       return;
     }
@@ -374,7 +423,7 @@
         "former",
         previousStart,
         "lease-over-in",
-        worker.leaseExpiryMillis() - nowMillis,
+        worker.lease().expiryMillis() - nowMillis,
         "fencing-token",
         worker.fence().token());
     restartedRuns.handleRestart(worker, report, polledAtMillis, nowMillis);
@@ -384,58 +433,4 @@
     worker.runs().forEach(run -> runs.markLost(worker, run, explanation));
     worker.setReported(false);
   }
-
-  boolean hasChanges() {
-    return !unstoredWorkers.isEmpty() || !removals.isEmpty();
-  }
-
-  /** Returns whether a worker gets no runs until its record is stored. */
-  boolean hasAwaitedChanges() {
-    return unstoredWorkers.stream()
-        .anyMatch(worker -> !worker.isIncarnationStored() || worker.renewal().isResuming());
-  }
-
-  /** Returns the number up to which decisions to stop the renewal of leases are stored. */
-  long lastStoredRenewalStop() {
-    return renewals.lastStoredNumber();
-  }
-
-  /**
-   * Adds the pending changes to a list. Removals come first, since a worker that was listed again
-   * was removed before that.
-   *
-   * @return the ended runs that are stored with the changes
-   */
-  List<JournalBatch.StoredEnds> drain(List<StoredChange> changes) {
-    changes.addAll(removals);
-    List<JournalBatch.StoredEnds> storedEnds = new ArrayList<>(unstoredWorkers.size());
-    for (Worker worker : unstoredWorkers) {
-      worker.markRecordSent();
-      changes.add(StoredChange.put(renewals.createRecord(worker)));
-      storedEnds.add(
-          new JournalBatch.StoredEnds(
-              worker,
-              worker.startedAtMillis(),
-              worker.ends().seenUpTo(),
-              worker.renewal().stop().map(RenewalStop::number).orElse(0L)));
-    }
-    unstoredWorkers.clear();
-    removals.clear();
-    return storedEnds;
-  }
-
-  void handleStoredEnds(JournalBatch.StoredEnds storedEnds, long nowMillis) {
-    Worker worker = storedEnds.worker();
-    if (renewals.recordStored(worker, storedEnds.renewalStop())) {
-      worker.pollSoon(nowMillis);
-    }
-    if (!worker.isRecordRemoved()) {
-      worker.markRecordStored(storedEnds.workerStartedAtMillis());
-    }
-    if (worker.startedAtMillis() == storedEnds.workerStartedAtMillis()
-        && storedEnds.upTo() > worker.ends().storedUpTo()) {
-      worker.ends().recordStored(storedEnds.upTo());
-      worker.pollSoon(nowMillis);
-    }
-  }
 }
