--- a/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
@@ -1,13 +1,10 @@
 package org.lavenderstage.core.pool;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.lavenderstage.core.job.Run;
-import org.lavenderstage.core.job.TaskId;
 
 /**
  * Tracks the starts that the workers of a simulation delay, and what the owner can know of each.
@@ -15,7 +12,6 @@
 final class DelayedStarts {
   private final TaskOracle oracle;
   private final List<DelayedStart> starts = new ArrayList<>();
-  private final Map<TaskId, Run> latestRuns = new HashMap<>();
 
   /** Delayed starts that were sent to the worker of an order before it. */
   private final IdentityHashMap<Order, List<DelayedStart>> startsBefore = new IdentityHashMap<>();
@@ -24,6 +20,7 @@
   static final class DelayedStart {
     private final SimulatedWorker worker;
     private final Run run;
+    private final long sentMillis;
 
     /** Whether the worker has answered a later order, so that the owner can know of the delay. */
     private boolean delayKnown;
@@ -31,9 +28,10 @@
     /** Whether the worker has reported to the owner after the end of the run. */
     private boolean settled;
 
-    private DelayedStart(SimulatedWorker worker, Run run) {
+    private DelayedStart(SimulatedWorker worker, Run run, long sentMillis) {
       this.worker = worker;
       this.run = run;
+      this.sentMillis = sentMillis;
     }
   }
 
@@ -42,12 +40,12 @@
   }
 
   /** Records that an order is sent. */
-  void recordSent(Order order) {
-    if (order instanceof Order.Start start) {
-      latestRuns.put(start.run().task().id(), start.run());
-    }
+  void recordSent(Order order, long nowMillis) {
     List<DelayedStart> before =
-        starts.stream().filter(start -> start.worker.id.equals(order.worker().id())).toList();
+        starts.stream()
+            .filter(start -> start.worker.id.equals(order.worker().id()))
+            .filter(start -> start.sentMillis < nowMillis)
+            .toList();
     if (!before.isEmpty()) {
       startsBefore.put(order, before);
     }
@@ -62,11 +60,11 @@
   }
 
   /** Records that a worker delays an order; only starts are tracked. */
-  Optional<DelayedStart> add(SimulatedWorker worker, Order order) {
+  Optional<DelayedStart> add(SimulatedWorker worker, Order order, long nowMillis) {
     if (!(order instanceof Order.Start start)) {
       return Optional.empty();
     }
-    DelayedStart delayed = new DelayedStart(worker, start.run());
+    DelayedStart delayed = new DelayedStart(worker, start.run(), nowMillis);
     starts.add(delayed);
     return Optional.of(delayed);
   }
@@ -92,20 +90,22 @@
   }
 
   /**
-   * Returns whether the owner can know of each start that the next incarnation of a worker will
-   * carry out.
+   * Returns whether an owner can know in time of each start that the next incarnation of a worker
+   * will carry out: from the answer to a later order, or since the restart is listed before the
+   * lease has expired that the start requests.
    *
-   * @param seen whether the restart of the worker is listed at once
+   * @param listedMillis time at which a restart now is listed
    */
-  boolean areKnowable(SimulatedWorker worker, boolean seen) {
+  boolean areKnowable(SimulatedWorker worker, long listedMillis) {
     return starts.stream()
         .filter(start -> start.worker == worker)
-        .allMatch(start -> isKnowable(start, seen));
+        .allMatch(start -> isKnowable(start, listedMillis));
   }
 
-  private boolean isKnowable(DelayedStart start, boolean seen) {
-    TaskId task = start.run.task().id();
-    boolean latest = latestRuns.get(task).attempt() == start.run.attempt();
-    return !oracle.isDone(task) && !start.settled && (start.delayKnown || (seen && latest));
+  private boolean isKnowable(DelayedStart start, long listedMillis) {
+    boolean restartKnown = listedMillis < start.sentMillis + SimulatedWorker.LEASE_MILLIS;
+    return !oracle.isDone(start.run.task().id())
+        && !start.settled
+        && (start.delayKnown || restartKnown);
   }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -245,11 +245,12 @@
   private static void inject(
       PoolSimulation simulation, Random random, Fault fault, List<Job> jobs, Set<Fault> all) {
     SimulatedWorker worker = simulation.workers.get(random.nextInt(simulation.workers.size()));
-    boolean seen =
+    boolean listed =
         fault != Fault.RESTART_BEHIND_DISCONNECTION && simulation.isPresentListingPublished(worker);
+    long listedMillis = listed ? simulation.now + simulation.listingDelayMillis : Long.MAX_VALUE;
     boolean mayRestart =
         !all.contains(Fault.KNOWABLE_DELAYED_STARTS)
-            || simulation.delayedStarts.areKnowable(worker, seen);
+            || simulation.delayedStarts.areKnowable(worker, listedMillis);
     switch (fault) {
       case UNHEALTHY -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
       case REDUCED_CAPACITY -> worker.unaccountedCpuMillis = random.nextInt(3) * 2_000;
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -386,7 +386,7 @@
 
   private void send(Order order, JobScheduler sender) {
     boolean fails = random.nextDouble() < failingRunRate;
-    delayedStarts.recordSent(order);
+    delayedStarts.recordSent(order, now);
     Optional<OrderOutcome> outcome = outcomes.apply(order);
     boolean delayed =
         outcome.map(given -> given.delayMillis() > 0).orElseGet(() -> occurs(delayedOrderRate));
@@ -474,7 +474,7 @@
     if (receiver.isPresent() && received) {
       SimulatedWorker worker = receiver.get();
       long incarnation = worker.startMillis;
-      Optional<DelayedStarts.DelayedStart> delayedStart = delayedStarts.add(worker, order);
+      Optional<DelayedStarts.DelayedStart> delayedStart = delayedStarts.add(worker, order, now);
       schedule(
           millis,
           () -> {
