--- a/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
@@ -4,6 +4,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.lavenderstage.core.job.Run;
 
 /**
@@ -39,6 +40,16 @@
     this.oracle = oracle;
   }
 
+  /**
+   * Records that another owner follows, which knows of delays by stored stops of renewals alone.
+   *
+   * @param renewalStopped returns whether such a stop of the previous owner is stored for a worker
+   */
+  void recordNewOwner(Predicate<String> renewalStopped) {
+    starts.forEach(start -> start.delayKnown &= renewalStopped.test(start.worker.id));
+    startsBefore.clear();
+  }
+
   /** Records that an order is sent. */
   void recordSent(Order order, long nowMillis) {
     List<DelayedStart> before =
--- a/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
@@ -7,16 +7,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.job.WorkerRecord;
+import org.lavenderstage.core.pool.PoolFaults.Fault;
 
 /**
  * Orders that get no answer are carried out seconds later by the next incarnation of their worker,
  * which has seen no fencing token and is disconnected. No task starts elsewhere while it may run
  * there, and the tasks that cannot run there do not wait for that.
+ *
+ * <p>No owner can prevent that an incarnation carries out a late start, before any order can reach
+ * it, of a task that is done or was started elsewhere after its worker had reported; or of one that
+ * was started elsewhere when its lease had expired, if neither a restart nor a delay was known. In
+ * the random tests all tasks outlast the simulation, so that none is done, and a worker restarts
+ * only if the owner can know in time of each start that the next incarnation will carry out, see
+ * {@link DelayedStarts#areKnowable}.
  */
 class LateOrderTest {
   private static final long SEED = 1;
@@ -29,6 +44,9 @@
 
   private static final long TASK_MILLIS = 200_000;
 
+  private static final int FIXED_SEEDS = 30;
+  private static final int FRESH_SEEDS = 400;
+
   private static final PoolTiming TIMING =
       new PoolTiming(SimulatedWorker.LEASE_MILLIS, SimulatedWorker.LEASE_MILLIS, 300, 2_500);
 
@@ -391,4 +409,96 @@
     Job job = submit(1);
     runUntil(() -> runsBeside(worker, taskOf(job)), START_MILLIS);
   }
+
+  private static Set<Fault> faults(Fault first, Fault... rest) {
+    Set<Fault> faults = PoolFaults.of(first, rest);
+    faults.addAll(
+        PoolFaults.of(
+            Fault.DISCONNECTION,
+            Fault.OTHER_INCARNATION,
+            Fault.OUTLASTING_TASKS,
+            Fault.MANY_DELAYED_ORDERS,
+            Fault.KNOWABLE_DELAYED_STARTS));
+    return faults;
+  }
+
+  private static final Set<Fault> RESTART_LISTED_LATE =
+      faults(Fault.IMMEDIATE_RESTART, Fault.LISTINGS);
+  private static final Set<Fault> RESTART_AND_NEW_OWNER =
+      faults(Fault.IMMEDIATE_RESTART, Fault.NEW_OWNER_AFTER_KNOWN_END);
+  private static final Set<Fault> UNSEEN_RESTART =
+      faults(Fault.IMMEDIATE_RESTART, Fault.RESTART_BEHIND_DISCONNECTION);
+  private static final Set<Fault> UNSEEN_RESTART_AND_NEW_OWNER =
+      faults(
+          Fault.IMMEDIATE_RESTART,
+          Fault.RESTART_BEHIND_DISCONNECTION,
+          Fault.NEW_OWNER_AFTER_KNOWN_END);
+  private static final Set<Fault> CRASH_AND_NEW_OWNER =
+      faults(Fault.CRASH, Fault.NEW_OWNER_AFTER_KNOWN_END);
+
+  private static void assertNoViolations(long seed, Set<Fault> faults) {
+    PoolSimulation simulation = PoolFaults.simulate(seed, faults);
+    assertEquals(
+        List.of(),
+        simulation.oracle.violations,
+        () -> "seed " + seed + " " + faults + "\n" + simulation.describeViolations());
+  }
+
+  /** Guards against the cases above with random orders, where restarts are listed late. */
+  @ParameterizedTest
+  @MethodSource("fixedSeeds")
+  @ValueSource(longs = {62, 123, 165, 214, 1558, 2136})
+  void noTaskRunsTwiceWhereRestartsAreListedLate(long seed) {
+    assertNoViolations(seed, RESTART_LISTED_LATE);
+  }
+
+  /** Guards against the cases above with random orders, where owners are replaced. */
+  @ParameterizedTest
+  @MethodSource("fixedSeeds")
+  @ValueSource(longs = {13, 64, 147, 159, 2997})
+  void noTaskRunsTwiceWhereWorkersRestartAndOwnersAreReplaced(long seed) {
+    assertNoViolations(seed, RESTART_AND_NEW_OWNER);
+  }
+
+  /** Guards against the cases above with random orders, where restarts are not seen. */
+  @ParameterizedTest
+  @MethodSource("fixedSeeds")
+  @ValueSource(longs = {5, 15, 18, 110, 200, 970, 1437, 1932})
+  void noTaskRunsTwiceWhereWorkersRestartUnseen(long seed) {
+    assertNoViolations(seed, UNSEEN_RESTART);
+  }
+
+  /** Guards against the cases above with random orders, unseen restarts and new owners. */
+  @ParameterizedTest
+  @MethodSource("fixedSeeds")
+  @ValueSource(longs = {87, 124, 125, 205, 583, 1352})
+  void noTaskRunsTwiceWhereWorkersRestartUnseenAndOwnersAreReplaced(long seed) {
+    assertNoViolations(seed, UNSEEN_RESTART_AND_NEW_OWNER);
+  }
+
+  /** Guards against the cases above with random orders, workers that are down and new owners. */
+  @ParameterizedTest
+  @MethodSource("fixedSeeds")
+  @ValueSource(longs = {96, 211, 265, 550})
+  void noTaskRunsTwiceWhereWorkersAreDownAndOwnersAreReplaced(long seed) {
+    assertNoViolations(seed, CRASH_AND_NEW_OWNER);
+  }
+
+  static LongStream fixedSeeds() {
+    return LongStream.rangeClosed(1, FIXED_SEEDS);
+  }
+
+  @Test
+  @Tag("fresh")
+  void noTaskRunsTwiceWithFreshSeeds() {
+    Random seeds = new Random();
+    for (int i = 0; i < FRESH_SEEDS; i++) {
+      long seed = seeds.nextLong();
+      assertNoViolations(seed, RESTART_LISTED_LATE);
+      assertNoViolations(seed, RESTART_AND_NEW_OWNER);
+      assertNoViolations(seed, UNSEEN_RESTART);
+      assertNoViolations(seed, UNSEEN_RESTART_AND_NEW_OWNER);
+      assertNoViolations(seed, CRASH_AND_NEW_OWNER);
+    }
+  }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -165,7 +165,7 @@
       worker.disconnected = false;
       worker.draining = false;
       worker.unaccountedCpuMillis = 0;
-      if (!worker.up) {
+      if (!worker.up && mayRestart(simulation, worker, true, faults)) {
         restart(simulation, worker);
       }
     }
@@ -247,10 +247,7 @@
     SimulatedWorker worker = simulation.workers.get(random.nextInt(simulation.workers.size()));
     boolean listed =
         fault != Fault.RESTART_BEHIND_DISCONNECTION && simulation.isPresentListingPublished(worker);
-    long listedMillis = listed ? simulation.now + simulation.listingDelayMillis : Long.MAX_VALUE;
-    boolean mayRestart =
-        !all.contains(Fault.KNOWABLE_DELAYED_STARTS)
-            || simulation.delayedStarts.areKnowable(worker, listedMillis);
+    boolean mayRestart = mayRestart(simulation, worker, listed, all);
     switch (fault) {
       case UNHEALTHY -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
       case REDUCED_CAPACITY -> worker.unaccountedCpuMillis = random.nextInt(3) * 2_000;
@@ -313,6 +310,13 @@
     }
   }
 
+  private static boolean mayRestart(
+      PoolSimulation simulation, SimulatedWorker worker, boolean listed, Set<Fault> faults) {
+    long listedMillis = listed ? simulation.now + simulation.listingDelayMillis : Long.MAX_VALUE;
+    return !faults.contains(Fault.KNOWABLE_DELAYED_STARTS)
+        || simulation.delayedStarts.areKnowable(worker, listedMillis);
+  }
+
   private static void toggle(Set<SimulatedWorker> set, SimulatedWorker worker) {
     if (!set.remove(worker)) {
       set.add(worker);
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -20,6 +20,7 @@
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.StoredRecord;
+import org.lavenderstage.core.job.WorkerRecord;
 
 /**
  * Simulates an owner, workers and a store under a virtual clock. Orders may be lost, answered late
@@ -181,6 +182,7 @@
 
   private void replaceOwner(PoolTiming termTiming) {
     term++;
+    delayedStarts.recordNewOwner(this::isRenewalStopInherited);
     sentListings.clear();
     appending = Optional.empty();
     owner = new JobScheduler(term, termTiming, 120_000, decisionLog(term));
@@ -188,6 +190,13 @@
     submitted.replaceAll((id, job) -> owner.find(id).orElse(job));
   }
 
+  /** Returns whether the previous owner has stored that it does not renew a worker's lease. */
+  private boolean isRenewalStopInherited(String worker) {
+    return store.get("worker/" + worker) instanceof WorkerRecord record
+        && record.renewalStop() > 0
+        && record.renewalStopTerm() == term - 1;
+  }
+
   /**
    * Lets the next owner be an entry that has just started, and knows nothing of the present one.
    */
