Stop the renewal of leases only once no start to the worker is in flight

Cause: the stop of renewals was decided after two failed polls. Those of a worker that has crashed fail at once, while a start that it holds back fails only with its time-out, and is counted with the longest lease of another incarnation from then on. The stop was stored before that, with the shorter lease. The worker restarts, carries out the start within the time-out, and is cut off: a next owner that relied on the stop started the task again while it ran. Change: an owner stops the renewal at the first failed poll after the starts in flight have ended; the stop then counts their leases and lists their tasks. That is later by a start's time-out and one poll, and only if a start was in flight.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -379,6 +379,7 @@
       remainingStarts--;
       long leaseUntilMillis = workers.leases().grant(worker, nowMillis);
       run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
+      worker.unansweredOrders().recordStartSent();
       orders.add(new Order.Start(worker, run, leaseUntilMillis));
     } else if (run.state() == Run.State.STOPPING) {
       run.recordOrderSent();
--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -67,13 +67,15 @@
   }
 
   /**
-   * Stops the renewal of leases on a worker that has left several polls unanswered.
+   * Stops the renewal of leases on a worker that has left several polls unanswered. A start in
+   * flight may still extend its lease, which a stop that is stored could not count any more.
    *
    * @return whether the renewal was stopped now
    */
   boolean stopIfDue(Worker worker, long nowMillis) {
     if (worker.failedPolls() < POLLS_BEFORE_STOP
         || worker.renewal().stop().isPresent()
+        || worker.unansweredOrders().isStartInFlight()
         || !worker.isRecordStored()) {
       return false;
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -13,10 +13,26 @@
   private static final long MAX_DELAY_MILLIS = 15_000;
 
   private final Map<TaskId, Start> starts = new HashMap<>();
+  private int startsInFlight;
 
   /** An unanswered start. */
   record Start(int attempt, long unansweredSinceMillis) {}
 
+  /** Records that a start is being sent. */
+  void recordStartSent() {
+    startsInFlight++;
+  }
+
+  /** Records that a start was answered or has failed. */
+  void recordStartEnded() {
+    startsInFlight--;
+  }
+
+  /** Returns whether a start was sent that has neither been answered nor failed yet. */
+  boolean isStartInFlight() {
+    return startsInFlight > 0;
+  }
+
   /** Records that a start was not answered, so that a copy of it may be carried out later. */
   void recordStart(TaskId task, int attempt, long monotonicMillis) {
     starts.put(task, new Start(attempt, monotonicMillis));
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -236,6 +236,7 @@
   /** Handles the result of a start. */
   void handleStartResult(Order.Start start, OrderResult result, long nowMillis) {
     Worker worker = start.worker();
+    worker.unansweredOrders().recordStartEnded();
     boolean otherIncarnation = leases.isOnOtherClock(start, result);
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
       raiseToken(worker, "clock");
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -79,6 +79,9 @@
   /** How long an owner waits for an answer, in milliseconds. */
   long timeoutMillis = 700;
 
+  /** Whether an order to a worker that is down fails at once, as a refused connection does. */
+  boolean refusesConnections;
+
   /** How long an append takes, in milliseconds. */
   long appendMillis = 5;
 
@@ -405,7 +408,9 @@
                 () -> deliverResult(sender, order, result.get()));
           } else {
             schedule(
-                timeoutMillis,
+                result.isEmpty() && refusesConnections && isDown(address)
+                    ? NETWORK_MILLIS
+                    : timeoutMillis,
                 () -> deliverResult(sender, order, new OrderResult.Unanswered("lost")));
           }
         });
@@ -438,7 +443,7 @@
               },
               () ->
                   schedule(
-                      timeoutMillis,
+                      refusesConnections && isDown(address) ? NETWORK_MILLIS : timeoutMillis,
                       () -> deliverResult(sender, pollOrder, new OrderResult.Unanswered("lost"))));
         });
   }
@@ -477,6 +482,11 @@
         .min(Comparator.comparing(w -> !w.up));
   }
 
+  /** Returns whether the worker at an address is down, so that nothing listens there. */
+  private boolean isDown(String address) {
+    return receiver(address).filter(worker -> worker.up).isEmpty();
+  }
+
   private boolean isReachable(SimulatedWorker worker, JobScheduler sender) {
     Set<SimulatedWorker> unreachable =
         sender == owner ? unreachableByOwner : unreachableByPreviousOwner;
--- a/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,9 @@
       new PoolTiming(SimulatedWorker.LEASE_MILLIS, SimulatedWorker.LEASE_MILLIS, 300, 2_500)
           .longestLeaseMillis();
 
+  /** Longest lease that the workers at one of the platform's sites grant, in milliseconds. */
+  private static final int LONG_LEASE_MILLIS = 10_000;
+
   private final PoolSimulation simulation = new PoolSimulation(SEED, 4);
 
   private Job startLongRunningJob() {
@@ -106,6 +110,45 @@
     assertTrue(worker.runs(firstTask(job)));
   }
 
+  /**
+   * Regression: a worker crashed with a start in flight, and its polls failed before that start, so
+   * that the stored stop did not count the lease that its next incarnation may grant for the start.
+   */
+  @Test
+  void stopOfRenewalsCountsTheLeaseOfAStartThatIsStillInFlight() {
+    PoolSimulation longLeases = new PoolSimulation(SEED, 2, LONG_LEASE_MILLIS);
+    longLeases.usePlatformDelays();
+    longLeases.refusesConnections = true;
+    longLeases.delayedOrdersReachOtherIncarnations = true;
+    longLeases.delayedOrdersIgnoreDisconnection = true;
+    longLeases.run(1_000);
+    List<SimulatedWorker> receivers = new ArrayList<>();
+    longLeases.outcomes =
+        order -> {
+          if (!(order instanceof Order.Start) || !receivers.isEmpty()) {
+            return PoolSimulation.OrderOutcome.answered();
+          }
+          longLeases.workers.stream()
+              .filter(w -> w.id.equals(order.worker().id()))
+              .forEach(receivers::add);
+          return PoolSimulation.OrderOutcome.delayed(300);
+        };
+    Job job = longLeases.submit(List.of(StepBuilder.longRunning(1, 3_000)), 0);
+    longLeases.run(50);
+    SimulatedWorker worker = receivers.get(0);
+    worker.crash(longLeases.now);
+    longLeases.run(150);
+    worker.restart(longLeases.now);
+    worker.disconnected = true;
+    longLeases.run(350);
+    assertTrue(worker.runs(firstTask(job)));
+    longLeases.run(400);
+    longLeases.replaceOwner();
+    longLeases.run(2L * LONG_LEASE_MILLIS);
+    assertEquals(List.of(), longLeases.oracle.violations, longLeases::describeViolations);
+    assertTrue(longLeases.oracle.isRunning(firstTask(job)));
+  }
+
   /** A stop under the term of an owner before the last one may have been ended unseen. */
   @Test
   void stopOfAnEarlierTermIsIgnored() {
