Keep the list of a stop of renewals until the worker has reported all its runs

Cause: a new owner holds back the tasks that the stored stop of a silent worker lists. The worker's first report ended the stop and with it the list, though a report contains at most 500 ended runs. That the worker may then have any task was not seen either, since that question is answered once, before the first report. Tasks whose ends were in a later report started again. Change: the list stays with the worker until it has reported completely, apart from the stop.

--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -59,7 +59,7 @@
             record.renewalStop(),
             record.sinceRenewalMillis(),
             Optional.ofNullable(record.mayRun()).map(Set::copyOf));
-    worker.renewal().stop(stop);
+    worker.renewal().restore(stop);
     long knownSinceMillis = renewalStops.knownSinceMillis(stop.number()).orElse(nowMillis);
     worker.extendLease(knownSinceMillis - stop.sinceRenewalMillis() + timing.longestLeaseMillis());
     lastStoredNumber = Math.max(lastStoredNumber, stop.number());
--- a/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
@@ -32,7 +32,7 @@
   Set<String> listedTasks(long nowMillis) {
     return unreported(nowMillis)
         .filter(UnreportedRuns::isEachTaskListed)
-        .flatMap(worker -> worker.renewal().stop().orElseThrow().mayRun().orElseThrow().stream())
+        .flatMap(worker -> worker.renewal().inheritedTasks().orElseThrow().stream())
         .collect(Collectors.toSet());
   }
 
@@ -46,6 +46,6 @@
   }
 
   private static boolean isEachTaskListed(Worker worker) {
-    return worker.renewal().stop().flatMap(RenewalStop::mayRun).isPresent();
+    return worker.renewal().inheritedTasks().isPresent();
   }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/TruncatedReportTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/TruncatedReportTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
+import org.lavenderstage.core.job.WorkerRecord;
 
 /** A worker has more ended runs than fit into one report. */
 class TruncatedReportTest {
@@ -40,6 +41,28 @@
     assertEquals(JobPhase.COMPLETED, simulation.submitted.get(job.id()).storedPhase());
   }
 
+  /**
+   * Regression: the same where a stop of renewals lists what may run on the worker; the new owner
+   * forgot that list with the worker's first report.
+   */
+  @Test
+  void aNewOwnerDoesNotRepeatRunsMissingFromTheFirstReportAfterAStopOfRenewals() {
+    PoolSimulation simulation = new PoolSimulation(SEED, 2);
+    Job job = endMoreRunsThanFitInOneReport(simulation);
+    SimulatedWorker worker = simulation.workers.get(0);
+    worker.disconnected = true;
+    simulation.storeDown = false;
+    simulation.run(2_500);
+    assertTrue(((WorkerRecord) simulation.store.get("worker/" + worker.id)).renewalStop() > 0);
+    simulation.workers.get(1).unhealthyUntil = 0;
+    simulation.replaceOwner();
+    simulation.run(200);
+    worker.disconnected = false;
+    simulation.run(5_000);
+    assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
+    assertEquals(JobPhase.COMPLETED, simulation.submitted.get(job.id()).storedPhase());
+  }
+
   /** The same owner does not consider a run lost because the first report does not contain it. */
   @Test
   void anOwnerDoesNotRepeatRunsMissingFromTheFirstReport() {
