--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -380,7 +380,7 @@
       long leaseUntilMillis = workers.leases().grant(worker, nowMillis);
       run.recordStartSent(leaseUntilMillis, worker.startedAtMillis());
       worker.unansweredOrders().recordStartSent();
-      orders.add(new Order.Start(worker, run, leaseUntilMillis));
+      orders.add(new Order.Start(worker, run, leaseUntilMillis, nowMillis));
     } else if (run.state() == Run.State.STOPPING) {
       run.recordOrderSent();
       orders.add(new Order.Stop(worker, run));
--- a/entry/src/test/java/org/lavenderstage/entry/job/OwnershipManagerTest.java
+++ b/entry/src/test/java/org/lavenderstage/entry/job/OwnershipManagerTest.java
@@ -85,7 +85,7 @@
    */
   @Test
   void ownerAfterAnEndedOneAllowsForTheOwnerBefore() throws Exception {
-    WorkerRecord worker = new WorkerRecord("w", "7", "10.0.0.1:80", 0, 0, 0, 0, null);
+    WorkerRecord worker = new WorkerRecord("w", "7", "10.0.0.1:80", 0, 0, 0, 0, null, false, null);
     StoredChange stored = StoredChange.put(worker);
     claim(first, "a", 0);
     log.append(
