Simulate refused connections, and orders that are held back until a restart but not beyond their time-out

Cause: in the simulations each failed order failed with the time-out, and delayed orders came seconds later, so that no random history had polls that fail before a start in flight, nor a start that a next incarnation carries out within the time-out. The test of a start in flight lets the worker restart unseen, since a restart that is seen makes the task wait for late orders anyway.

--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -80,7 +80,11 @@
     /** Delayed orders reach the next incarnation of their worker. */
     OTHER_INCARNATION,
     /** Workers grant longer leases than the owner requests. */
-    LONG_LEASES
+    LONG_LEASES,
+    /** Orders to workers that are down fail at once. */
+    REFUSED_CONNECTIONS,
+    /** Delayed orders reach the next incarnation of their worker, before the owner's time-out. */
+    SHORT_DELAYS
   }
 
   /** Longest time that an owner gives orders after its last confirmation, in milliseconds. */
@@ -156,7 +160,10 @@
   }
 
   private static void prepare(PoolSimulation simulation, long seed, Set<Fault> faults) {
-    simulation.delayedOrdersReachOtherIncarnations = faults.contains(Fault.OTHER_INCARNATION);
+    simulation.delaysWithinTimeout = faults.contains(Fault.SHORT_DELAYS);
+    simulation.delayedOrdersReachOtherIncarnations =
+        faults.contains(Fault.OTHER_INCARNATION) || faults.contains(Fault.SHORT_DELAYS);
+    simulation.refusesConnections = faults.contains(Fault.REFUSED_CONNECTIONS);
     SimulatedGangs gangs = new SimulatedGangs();
     SimulatedInterference model = new SimulatedInterference(seed, 0.5, 0.5, 5_000);
     model.setCoefficient("filling", "serving", 1);
@@ -259,7 +266,7 @@
         // Affect the steps and the workers.
       }
       case UNHEALTHY_STOPS -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
-      case OTHER_INCARNATION, LONG_LEASES -> {
+      case OTHER_INCARNATION, LONG_LEASES, REFUSED_CONNECTIONS, SHORT_DELAYS -> {
         // Apply to the whole simulation.
       }
     }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaultsFuzzTest.java
@@ -131,4 +131,23 @@
             Fault.CRASH,
             Fault.DISCONNECTION));
   }
+
+  /**
+   * Covers starts that a worker holds back until it has restarted, while its polls fail at once,
+   * and stops of renewals that a next owner relies on.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhenRestartedWorkersCarryOutOrdersAndOwnersAreReplaced(long seed) {
+    assertNoViolations(
+        seed,
+        PoolFaults.of(
+            Fault.NEW_OWNER,
+            Fault.CRASH,
+            Fault.DISCONNECTION,
+            Fault.LISTINGS,
+            Fault.LONG_LEASES,
+            Fault.REFUSED_CONNECTIONS,
+            Fault.SHORT_DELAYS));
+  }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -50,6 +50,9 @@
   /** Whether a delayed order reaches the next incarnation of its worker. */
   boolean delayedOrdersReachOtherIncarnations;
 
+  /** Whether an order is delayed at most until its owner gives up waiting for the answer. */
+  boolean delaysWithinTimeout;
+
   /** Whether a worker carries out a delayed order though it has been disconnected meanwhile. */
   boolean delayedOrdersIgnoreDisconnection;
 
@@ -416,10 +419,7 @@
     boolean delayed =
         outcome.map(given -> given.delayMillis() > 0).orElseGet(() -> occurs(delayedOrderRate));
     if (delayed) {
-      long millis =
-          outcome
-              .map(OrderOutcome::delayMillis)
-              .orElseGet(() -> 2_000L + random.nextInt(ORDER_DELAY_RANGE_MILLIS));
+      long millis = outcome.map(OrderOutcome::delayMillis).orElseGet(this::randomDelayMillis);
       sendDelayed(order, sender, fails, millis);
       return;
     }
@@ -488,6 +488,12 @@
         });
   }
 
+  private long randomDelayMillis() {
+    return delaysWithinTimeout
+        ? 1L + random.nextInt((int) timeoutMillis)
+        : 2_000L + random.nextInt(ORDER_DELAY_RANGE_MILLIS);
+  }
+
   private boolean occurs(double probability) {
     return random.nextDouble() < probability;
   }
--- a/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RenewalStopTest.java
@@ -138,8 +138,8 @@
     SimulatedWorker worker = receivers.get(0);
     worker.crash(longLeases.now);
     longLeases.run(150);
-    worker.restart(longLeases.now);
     worker.disconnected = true;
+    longLeases.restartUnseen(worker);
     longLeases.run(350);
     assertTrue(worker.runs(firstTask(job)));
     longLeases.run(400);
