Let inherited tasks wait for a silent worker whose restart becomes known late

Cause: whether any inherited task may run on a silent worker was asked until the first no, mostly when the leases that the new owner counted were over. A restart that became known after that did not count, though its incarnation may carry out a late start. Change: the question is asked in each scheduling round. It concerns only inherited tasks that still wait, and not once the worker has reported.

--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -47,7 +47,7 @@
   private final long retentionMillis;
   private final PlacementPacer pacer = new PlacementPacer();
   private final List<Order> readyOrders = new ArrayList<>();
-  private boolean inheritedRunsUnknown = true;
+  private boolean inheritanceSettled;
   private long lastBatchMillis = Long.MIN_VALUE / 2;
   private int remainingStarts;
   private long placementRounds;
@@ -277,8 +277,8 @@
     jobs.openDueOccurrences(wallMillis);
     dropUnsentStarts();
     workers.step(nowMillis, orders);
-    if (inheritedRunsUnknown && !workers.unreportedRuns().isAnyTaskConcerned(nowMillis)) {
-      inheritedRunsUnknown = false;
+    if (!inheritanceSettled && !workers.unreportedRuns().isAnyTaskConcerned(nowMillis)) {
+      inheritanceSettled = true;
       log.record(Decision.INHERITANCE_SETTLED, "jobs", jobs.size());
     }
     addRunOrders(nowMillis, orders);
@@ -313,7 +313,8 @@
       nextRemovalMillis = nowMillis + REMOVAL_INTERVAL_MILLIS;
       jobs.removeEndedBefore(wallMillis - retentionMillis);
     }
-    placement.placeWaitingTasks(inheritedRunsUnknown, nowMillis);
+    // A restart that becomes known later concerns the inherited tasks that still wait.
+    placement.placeWaitingTasks(workers.unreportedRuns().isAnyTaskConcerned(nowMillis), nowMillis);
     List<Order> orders = new ArrayList<>();
     addRunOrders(nowMillis, orders);
     return orders;
--- a/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
@@ -177,6 +177,25 @@
     assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
   }
 
+  /** Guards against a restart that a new owner ignores once the leases that it counted are over. */
+  @Test
+  void anInheritedTaskThatStillWaitsDoesNotStartWhereARestartBecomesKnownAfterTheLeases() {
+    delayNextStart(13_000);
+    Job job = submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    simulation.run(50);
+    worker.disconnected = true;
+    simulation.workers.stream()
+        .filter(w -> w != worker)
+        .forEach(w -> w.unhealthyUntil = simulation.now + 13_500);
+    simulation.replaceOwnerKnownToHaveEnded();
+    long lastOrder = simulation.now;
+    simulation.run(9_000);
+    restart(worker);
+    simulation.run(4_200);
+    assertStartsElsewhereAfterLease(worker, taskOf(job), lastOrder);
+  }
+
   /** Guards against a start beside one of the same owner that the next incarnation delayed. */
   @Test
   void aTaskDoesNotStartElsewhereWhileTheNextIncarnationCarriesOutItsDelayedStart() {
