--- a/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/FormerOwnerTest.java
@@ -210,6 +210,31 @@
     assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
   }
 
+  /**
+   * A previous owner that nobody follows counts the lease of a worker that it has lost sight of as
+   * over, after the new owner has learned there that the task is done. Listed in KNOWN-RED.txt.
+   */
+  @Test
+  @Tag("known-red")
+  void aFormerOwnerStartsNothingAgainWhoseLeaseEndsAfterTheNextClaim() {
+    PoolSimulation simulation = new PoolSimulation(SEED, 2);
+    simulation.longPolling = true;
+    simulation.run(200);
+    Job job = simulation.submit(List.of(StepBuilder.step(1, 2_000, 2_000)), 0);
+    simulation.run(300);
+    SimulatedWorker first = workerOf(simulation, job);
+    simulation.unreachableByOwner.add(first);
+    simulation.run(5_000);
+    simulation.unreachableByOwner.clear();
+    simulation.replaceOwnerKeepingPrevious(OWNERSHIP_MILLIS);
+    simulation.workers.forEach(
+        w ->
+            (w == first ? simulation.unreachableByPreviousOwner : simulation.unreachableByOwner)
+                .add(w));
+    simulation.run(5_000);
+    assertEquals(List.of(), simulation.oracle.violations, simulation::describeViolations);
+  }
+
   /**
    * A previous owner without the store starts tasks on workers that have restarted in place since
    * its last poll and therefore know no term. Listed in KNOWN-RED.txt.
