--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -60,7 +60,7 @@
             record.sinceRenewalMillis(),
             Optional.ofNullable(record.mayRun()).map(Set::copyOf),
             Optional.ofNullable(record.mayStartLate()).map(Set::copyOf).orElse(Set.of()));
-    worker.renewal().stop(stop);
+    worker.renewal().restore(stop);
     long knownSinceMillis = renewalStops.knownSinceMillis(stop.number()).orElse(nowMillis);
     worker
         .lease()
@@ -71,13 +71,15 @@
   }
 
   /**
-   * Stops the renewal of leases on a worker that has left several polls unanswered.
+   * Stops the renewal of leases on a worker that has left several polls unanswered. A start in
+   * flight may still extend its lease, which a stop that is stored could not count any more.
    *
    * @return whether the renewal was stopped now
    */
   boolean stopIfDue(Worker worker, long nowMillis) {
     if (worker.failedPolls() < POLLS_BEFORE_STOP
         || worker.renewal().stop().isPresent()
+        || worker.unansweredOrders().isStartInFlight()
         || !worker.isRecordStored()) {
       return false;
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
@@ -53,7 +53,7 @@
   /** Returns the tasks that may run on a worker, empty if any inherited task may run there. */
   private static Optional<List<String>> tasks(Worker worker, long nowMillis) {
     return nowMillis <= worker.lease().expiryMillis()
-        ? worker.renewal().stop().flatMap(RenewalStop::mayRun).map(List::copyOf)
+        ? worker.renewal().inheritedTasks().map(List::copyOf)
         : LateOrders.inheritedTasks(worker);
   }
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -50,6 +50,9 @@
   /** Whether a delayed order reaches the next incarnation of its worker. */
   boolean delayedOrdersReachOtherIncarnations;
 
+  /** Whether an order is delayed at most until its owner gives up waiting for the answer. */
+  boolean delaysWithinTimeout;
+
   /** Whether a worker carries out a delayed order though it has been disconnected meanwhile. */
   boolean delayedOrdersIgnoreDisconnection;
 
@@ -89,6 +92,9 @@
   /** How long an owner waits for an answer, in milliseconds. */
   long timeoutMillis = 700;
 
+  /** Whether an order to a worker that is down fails at once, as a refused connection does. */
+  boolean refusesConnections;
+
   /** How long an append takes, in milliseconds. */
   long appendMillis = 5;
 
@@ -111,6 +117,10 @@
   private RenewalStops renewalStops = new RenewalStops();
   private Optional<PreviousOwner> previousOwner = Optional.empty();
   private long term;
+
+  /** Since when the entry that succeeds the owner knows of the owner's claim. */
+  private long ownerKnownSinceMillis;
+
   private int nextJob;
   private long eventCount;
   private Optional<JournalBatch> appending = Optional.empty();
@@ -180,14 +190,15 @@
 
   /**
    * Starts a new owner from the stored records. It knows that the process with the preceding claim
-   * has ended, and does not consider owners before that.
+   * has ended, and since when it knows of that claim.
    */
   void replaceOwnerKnownToHaveEnded() {
-    replaceOwner(timing.withoutPreviousOwner());
+    replaceOwner(timing.afterEndOfPreviousOwner(now - ownerKnownSinceMillis));
   }
 
   private void replaceOwner(PoolTiming termTiming) {
     term++;
+    ownerKnownSinceMillis = now + OWNER_QUERY_MILLIS;
     sentListings.clear();
     appending = Optional.empty();
     owner = new JobScheduler(term, termTiming, 120_000, decisionLog(term));
@@ -200,6 +211,7 @@
    */
   void restartSuccessor() {
     renewalStops = new RenewalStops();
+    ownerKnownSinceMillis = now;
   }
 
   /** Returns a log that adds to the history; with two owners, each line contains the term. */
@@ -407,10 +419,7 @@
     boolean delayed =
         outcome.map(given -> given.delayMillis() > 0).orElseGet(() -> occurs(delayedOrderRate));
     if (delayed) {
-      long millis =
-          outcome
-              .map(OrderOutcome::delayMillis)
-              .orElseGet(() -> 2_000L + random.nextInt(ORDER_DELAY_RANGE_MILLIS));
+      long millis = outcome.map(OrderOutcome::delayMillis).orElseGet(this::randomDelayMillis);
       sendDelayed(order, sender, fails, millis);
       return;
     }
@@ -439,7 +448,9 @@
                 () -> deliverResult(sender, order, result.get()));
           } else {
             schedule(
-                timeoutMillis,
+                result.isEmpty() && refusesConnections && isDown(address)
+                    ? NETWORK_MILLIS
+                    : timeoutMillis,
                 () -> deliverResult(sender, order, new OrderResult.Unanswered("lost")));
           }
         });
@@ -472,11 +483,17 @@
               },
               () ->
                   schedule(
-                      timeoutMillis,
+                      refusesConnections && isDown(address) ? NETWORK_MILLIS : timeoutMillis,
                       () -> deliverResult(sender, pollOrder, new OrderResult.Unanswered("lost"))));
         });
   }
 
+  private long randomDelayMillis() {
+    return delaysWithinTimeout
+        ? 1L + random.nextInt((int) timeoutMillis)
+        : 2_000L + random.nextInt(ORDER_DELAY_RANGE_MILLIS);
+  }
+
   private boolean occurs(double probability) {
     return random.nextDouble() < probability;
   }
@@ -517,6 +534,11 @@
         .min(Comparator.comparing(w -> !w.up));
   }
 
+  /** Returns whether the worker at an address is down, so that nothing listens there. */
+  private boolean isDown(String address) {
+    return receiver(address).filter(worker -> worker.up).isEmpty();
+  }
+
   private boolean isReachable(SimulatedWorker worker, JobScheduler sender) {
     Set<SimulatedWorker> unreachable =
         sender == owner ? unreachableByOwner : unreachableByPreviousOwner;
