--- a/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
@@ -63,9 +63,8 @@
    * @return identifiers of tasks, empty if any inherited task may be concerned
    */
   static Optional<List<String>> inheritedTasks(Worker worker) {
-    Optional<RenewalStop> stop = worker.renewal().stop();
     return worker.fence().isRestartPending()
-        ? stop.flatMap(RenewalStop::mayRun).map(List::copyOf)
-        : stop.map(RenewalStop::mayStartLate).map(List::copyOf);
+        ? worker.renewal().inheritedTasks().map(List::copyOf)
+        : worker.renewal().stop().map(RenewalStop::mayStartLate).map(List::copyOf);
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -12,6 +12,7 @@
  */
 final class UnansweredOrders {
   private final Map<TaskId, Start> starts = new HashMap<>();
+  private int startsInFlight;
 
   /**
    * An unanswered start.
@@ -32,6 +33,21 @@
     }
   }
 
+  /** Records that a start is being sent. */
+  void recordStartSent() {
+    startsInFlight++;
+  }
+
+  /** Records that a start was answered or has failed. */
+  void recordStartEnded() {
+    startsInFlight--;
+  }
+
+  /** Returns whether a start was sent that has neither been answered nor failed yet. */
+  boolean isStartInFlight() {
+    return startsInFlight > 0;
+  }
+
   /** Records that a start was not answered, so that a copy of it may be carried out later. */
   void recordStart(Order.Start order, boolean heldBack, long monotonicMillis) {
     Run run = order.run();
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolFaults.java
@@ -81,6 +81,10 @@
     OTHER_INCARNATION,
     /** Workers grant longer leases than the owner requests. */
     LONG_LEASES,
+    /** Orders to workers that are down fail at once. */
+    REFUSED_CONNECTIONS,
+    /** Delayed orders reach the next incarnation of their worker, before the owner's time-out. */
+    SHORT_DELAYS,
     /** Disconnected workers restart in place, and are listed anew once they are connected again. */
     RESTART_BEHIND_DISCONNECTION,
     /** Owners end and are replaced by one that knows of their end. */
@@ -176,7 +180,10 @@
   }
 
   private static void prepare(PoolSimulation simulation, long seed, Set<Fault> faults) {
-    simulation.delayedOrdersReachOtherIncarnations = faults.contains(Fault.OTHER_INCARNATION);
+    simulation.delaysWithinTimeout = faults.contains(Fault.SHORT_DELAYS);
+    simulation.delayedOrdersReachOtherIncarnations =
+        faults.contains(Fault.OTHER_INCARNATION) || faults.contains(Fault.SHORT_DELAYS);
+    simulation.refusesConnections = faults.contains(Fault.REFUSED_CONNECTIONS);
     SimulatedGangs gangs = new SimulatedGangs();
     SimulatedInterference model = new SimulatedInterference(seed, 0.5, 0.5, 5_000);
     model.setCoefficient("filling", "serving", 1);
@@ -302,6 +309,8 @@
       case UNHEALTHY_STOPS -> worker.unhealthyUntil = simulation.now + random.nextInt(3_000);
       case OTHER_INCARNATION,
           LONG_LEASES,
+          REFUSED_CONNECTIONS,
+          SHORT_DELAYS,
           OUTLASTING_TASKS,
           MANY_DELAYED_ORDERS,
           KNOWABLE_DELAYED_STARTS -> {
