--- a/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/DelayedStarts.java
@@ -26,6 +26,9 @@
     /** Whether the worker has answered a later order, so that the owner can know of the delay. */
     private boolean delayKnown;
 
+    /** Whether a former owner sent the start, of which the present one does not know. */
+    private boolean inherited;
+
     /** Whether the worker has reported to the owner after the end of the run. */
     private boolean settled;
 
@@ -46,8 +49,11 @@
    * @param renewalStopped returns whether such a stop of the previous owner is stored for a worker
    */
   void recordNewOwner(Predicate<String> renewalStopped) {
-    starts.forEach(start -> start.delayKnown &= renewalStopped.test(start.worker.id));
-    startsBefore.clear();
+    starts.forEach(
+        start -> {
+          start.delayKnown &= renewalStopped.test(start.worker.id);
+          start.inherited = true;
+        });
   }
 
   /** Records that an order is sent. */
@@ -66,7 +72,7 @@
   void recordResult(Order order, OrderResult result) {
     List<DelayedStart> before = startsBefore.remove(order);
     if (before != null && !(result instanceof OrderResult.Unanswered)) {
-      before.forEach(start -> start.delayKnown = true);
+      before.forEach(start -> start.delayKnown |= !start.inherited);
     }
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
@@ -44,7 +44,7 @@
 
   private static final long TASK_MILLIS = 200_000;
 
-  private static final int FIXED_SEEDS = 30;
+  private static final int FIXED_SEEDS = 60;
   private static final int FRESH_SEEDS = 400;
 
   private static final PoolTiming TIMING =
@@ -490,7 +490,7 @@
   /** Guards against the cases above with random orders, unseen restarts and new owners. */
   @ParameterizedTest
   @MethodSource("fixedSeeds")
-  @ValueSource(longs = {87, 124, 125, 205, 583, 1352})
+  @ValueSource(longs = {87, 124, 125, 205, 583, 1729})
   void noTaskRunsTwiceWhereWorkersRestartUnseenAndOwnersAreReplaced(long seed) {
     assertNoViolations(seed, UNSEEN_RESTART_AND_NEW_OWNER);
   }
