Limit the connections on which no call has been answered

Silent connections were not the cause: the starts went unanswered from 0.8 to 4.3 s before they were silenced.

Cause: a burst of starts opened one connection for each call. A worker that was behind accepted few of them within the 500 ms of the calls; the client closed the others and opened new ones for the repeated starts and then the stops (up to 52 orders a second unanswered by one worker). The worker's queue of new connections filled up with abandoned ones, so that each poll, on a connection at the end of the queue, timed out as well, also those of the next owner. All leases lapsed, and the workers were back only when their queues had been worked off.

Change: at most 8 connections to an address may be open on which no call has been answered yet; each of them that fails halves this limit, each first answer doubles it. Other calls wait, and use the connections that do answer.

Thread dumps and socket tables of a broken run show queues of 234 to 250 of 256 connections, all closed by the client already, and the proxies starting threads for them.

The queue of the scripted server is longer than before, since the connections of a burst did not fit into 10 places.

--- a/http/src/main/java/org/lavenderstage/http/ClientConnection.java
+++ b/http/src/main/java/org/lavenderstage/http/ClientConnection.java
@@ -43,6 +43,7 @@
   private boolean informational;
   private boolean keptAlive;
   private boolean closed;
+  private boolean proven;
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
   ClientConnection(Http1Client client, String address) {
@@ -54,6 +55,11 @@
     return address;
   }
 
+  /** Returns whether a call was answered on this connection. */
+  boolean isProven() {
+    return proven;
+  }
+
   long idleMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos);
   }
@@ -142,6 +148,10 @@
     Http1Response response =
         new Http1Response(status, Optional.empty(), OptionalLong.empty(), body.toByteArray());
     body = new ByteArrayOutputStream(0);
+    if (!proven) {
+      proven = true;
+      client.recordProven(this);
+    }
     // Released first, so that a call made by the one who waits can use this connection.
     if (keptAlive && context.channel().isActive()) {
       idleSinceNanos = System.nanoTime();
--- a/http/src/main/java/org/lavenderstage/http/ConnectionPool.java
+++ b/http/src/main/java/org/lavenderstage/http/ConnectionPool.java
@@ -22,12 +22,24 @@
    */
   private static final int MAX_IDLE = 8;
 
+  /** Maximum number of connections on which no call has been answered yet. */
+  private static final int MAX_UNPROVEN = 8;
+
   /** Idle connections, the most recently used first. */
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
   private final Deque<Http1Client.Exchange> waiting = new ArrayDeque<>();
   private int open;
 
+  /** Number of open connections on which no call has been answered yet. */
+  private int unproven;
+
+  /**
+   * Current limit of the unproven connections. A server that is behind answers none of many new
+   * connections in time, and has to work through all that were given up.
+   */
+  private int maxUnproven = MAX_UNPROVEN;
+
   /** Takes the most recently used idle connection. */
   Optional<ClientConnection> takeIdle() {
     return Optional.ofNullable(idle.pollFirst());
@@ -47,34 +59,62 @@
     return List.copyOf(idle);
   }
 
-  /** Reserves a place for a connection that is about to be opened, if there is one. */
-  boolean reserve() {
-    if (open >= MAX_OPEN) {
+  /**
+   * Reserves a place for a connection that is about to be opened, if there is one.
+   *
+   * @param urgent whether the connection is for an urgent call, which the limit of unproven
+   *     connections does not apply to
+   */
+  boolean reserve(boolean urgent) {
+    if (open >= MAX_OPEN || (unproven >= maxUnproven && !urgent)) {
       return false;
     }
     open++;
+    unproven++;
     return true;
   }
 
-  /** Records that a connection was closed or could not be opened. */
+  /** Records the first answer on a connection. */
+  void recordProven() {
+    unproven--;
+    maxUnproven = Math.min(MAX_UNPROVEN, 2 * maxUnproven);
+  }
+
+  /** Records that a connection on which calls were answered was closed. */
   void recordClosed() {
     open--;
   }
 
+  /** Records that a connection could not be opened, or was closed before the first answer. */
+  void recordFailed() {
+    open--;
+    unproven--;
+    maxUnproven = Math.max(1, maxUnproven / 2);
+  }
+
   void removeIdle(ClientConnection connection) {
     idle.remove(connection);
   }
 
-  /** Lets a call wait for a connection. */
+  /** Lets a call wait for a connection, an urgent one ahead of the others. */
   void await(Http1Client.Exchange exchange) {
-    waiting.addLast(exchange);
+    if (exchange.urgent()) {
+      waiting.addFirst(exchange);
+    } else {
+      waiting.addLast(exchange);
+    }
   }
 
-  /** Takes the call that has waited longest. */
+  /** Takes the call that is next, urgent ones first. */
   Optional<Http1Client.Exchange> takeWaiting() {
     return Optional.ofNullable(waiting.pollFirst());
   }
 
+  /** Returns the call that is next, which goes on waiting. */
+  Optional<Http1Client.Exchange> nextWaiting() {
+    return Optional.ofNullable(waiting.peekFirst());
+  }
+
   /** Returns whether the pool has neither connections nor waiting calls. */
   boolean isUnused() {
     return open == 0 && waiting.isEmpty();
--- a/http/src/main/java/org/lavenderstage/http/Http1Client.java
+++ b/http/src/main/java/org/lavenderstage/http/Http1Client.java
@@ -27,8 +27,9 @@
  * HTTP/1.1 client that keeps connections open between calls. Each connection carries one call at a
  * time; a connection whose call failed or timed out is closed. A timeout also closes the idle
  * connections to the same address: they may be as silent, and each would cost another timeout. The
- * number of connections to an address is limited; further calls wait. All work is done by one event
- * loop.
+ * number of connections to an address is limited, and more so that of connections on which no call
+ * has been answered yet; further calls wait, urgent ones ahead of the others. All work is done by
+ * one event loop.
  */
 public final class Http1Client implements AutoCloseable {
   private static final int MAX_PORT = 65_535;
@@ -94,11 +95,31 @@
    */
   public CompletableFuture<Http1Response> send(
       String address, Http1Request request, long timeoutMillis) {
+    return send(address, request, timeoutMillis, false);
+  }
+
+  /**
+   * Sends an urgent request, which waits for a connection ahead of the others and is not subject to
+   * the limit of connections without an answer. To be used for few requests at a time.
+   *
+   * @param address IPv4 address and port
+   * @param request the request, used for this call only; the client adds headers
+   * @param timeoutMillis timeout of the response, from the time at which the request is written
+   * @return the response; completed by the event loop
+   */
+  public CompletableFuture<Http1Response> sendUrgent(
+      String address, Http1Request request, long timeoutMillis) {
+    return send(address, request, timeoutMillis, true);
+  }
+
+  private CompletableFuture<Http1Response> send(
+      String address, Http1Request request, long timeoutMillis, boolean urgent) {
     Exchange exchange =
         new Exchange(
             address,
             request,
             timeoutMillis,
+            urgent,
             new CompletableFuture<>(),
             System.nanoTime(),
             System.currentTimeMillis());
@@ -117,6 +138,7 @@
       String address,
       Http1Request request,
       long timeoutMillis,
+      boolean urgent,
       CompletableFuture<Http1Response> response,
       long madeAtNanos,
       long madeAtWallMillis) {
@@ -148,7 +170,7 @@
     Optional<ClientConnection> idle = pool.takeIdle();
     if (idle.isPresent()) {
       idle.get().send(exchange);
-    } else if (pool.reserve()) {
+    } else if (pool.reserve(exchange.urgent())) {
       connect(exchange);
     } else {
       pool.await(exchange);
@@ -160,7 +182,7 @@
     try {
       address = parse(exchange.address());
     } catch (IOException e) {
-      recordClosed(exchange.address());
+      recordFailed(exchange.address());
       exchange.response().completeExceptionally(e);
       return;
     }
@@ -172,7 +194,7 @@
 
   private void connected(Exchange exchange, ChannelFuture result) {
     if (!result.isSuccess()) {
-      recordClosed(exchange.address());
+      recordFailed(exchange.address());
       exchange.response().completeExceptionally(result.cause());
       return;
     }
@@ -195,12 +217,18 @@
     return false;
   }
 
+  /** Records the first answer on a connection, after which others may be opened. */
+  void recordProven(ClientConnection connection) {
+    pools.get(connection.address()).recordProven();
+  }
+
   /** Uses a connection for a call that waits, or keeps it for the next one to the same address. */
   void release(ClientConnection connection) {
     ConnectionPool pool = pools.get(connection.address());
     Optional<Exchange> next = closed ? Optional.empty() : nextWaiting(pool);
     if (next.isPresent()) {
       connection.send(next.get());
+      startWaiting(pool);
     } else if (closed || !pool.keepIdle(connection)) {
       connection.close();
     }
@@ -208,20 +236,45 @@
 
   /** Removes a connection that was closed. */
   void remove(ClientConnection connection) {
-    pools.get(connection.address()).removeIdle(connection);
-    recordClosed(connection.address());
+    ConnectionPool pool = pools.get(connection.address());
+    pool.removeIdle(connection);
+    if (connection.isProven()) {
+      pool.recordClosed();
+    } else {
+      pool.recordFailed();
+    }
+    usePlaces(connection.address(), pool);
   }
 
-  /** Records that a connection was closed or could not be opened, and uses its place. */
-  private void recordClosed(String address) {
+  /** Records that a connection could not be opened. */
+  private void recordFailed(String address) {
     ConnectionPool pool = pools.get(address);
-    pool.recordClosed();
-    nextWaiting(pool).ifPresent(this::start);
+    pool.recordFailed();
+    usePlaces(address, pool);
+  }
+
+  private void usePlaces(String address, ConnectionPool pool) {
+    startWaiting(pool);
     if (pool.isUnused()) {
       pools.remove(address, pool);
     }
   }
 
+  /** Opens connections for the calls that wait, as far as they have a place. */
+  private void startWaiting(ConnectionPool pool) {
+    Optional<Exchange> next = pool.nextWaiting();
+    while (next.isPresent()) {
+      if (closed || next.get().ageMillis() > sendTimeoutMillis) {
+        start(pool.takeWaiting().orElseThrow());
+      } else if (pool.reserve(next.get().urgent())) {
+        connect(pool.takeWaiting().orElseThrow());
+      } else {
+        return;
+      }
+      next = pool.nextWaiting();
+    }
+  }
+
   /** Takes the next waiting call that is not outdated; fails those that are. */
   private Optional<Exchange> nextWaiting(ConnectionPool pool) {
     Optional<Exchange> next = pool.takeWaiting();
--- a/http/src/test/java/org/lavenderstage/http/Http1Test.java
+++ b/http/src/test/java/org/lavenderstage/http/Http1Test.java
@@ -194,6 +194,52 @@
     }
   }
 
+  /**
+   * A worker that was behind got a connection for each repeated order, and was kept busy for 20 s
+   * by those that had been given up.
+   */
+  @Test
+  void aBurstOfCallsToAServerThatAnswersNoneOpensFewConnections() throws Exception {
+    int calls = 32;
+    List<CompletableFuture<Http1Response>> silent = new ArrayList<>();
+    try (ScriptedServer scripted =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
+      scripted.silenceAll(true);
+      for (int i = 0; i < calls; i++) {
+        silent.add(client.send(scripted.address(), Http1Request.get("/"), 400));
+      }
+      assertThrows(ExecutionException.class, () -> silent.get(0).get(10, TimeUnit.SECONDS));
+      assertTrue(scripted.connections() <= calls / 2, "opened " + scripted.connections());
+      scripted.silenceAll(false);
+      assertEquals(200, silent.get(calls - 1).get(10, TimeUnit.SECONDS).status());
+    }
+  }
+
+  /** The polls that renew the leases of a worker's runs must not wait behind unanswered orders. */
+  @Test
+  void anUrgentCallDoesNotWaitBehindCallsThatAreNotAnswered() throws Exception {
+    int calls = 24;
+    List<CompletableFuture<Http1Response>> silent = new ArrayList<>();
+    try (ScriptedServer scripted =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")) {
+      scripted.silenceAll(true);
+      for (int i = 0; i < calls; i++) {
+        silent.add(client.send(scripted.address(), Http1Request.get("/"), TIMEOUT_MILLIS));
+      }
+      long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+      while (scripted.requests() < 8 && System.nanoTime() < deadlineNanos) {
+        Thread.sleep(1);
+      }
+      scripted.silenceAll(false);
+      CompletableFuture<Http1Response> urgent =
+          client.sendUrgent(scripted.address(), Http1Request.get("/"), TIMEOUT_MILLIS);
+      assertEquals(200, urgent.get(TIMEOUT_MILLIS / 2, TimeUnit.MILLISECONDS).status());
+      // The others are sent on connections that answer.
+      assertEquals(
+          200, silent.get(calls - 1).get(TIMEOUT_MILLIS / 2, TimeUnit.MILLISECONDS).status());
+    }
+  }
+
   /**
    * Calls that wait for a connection fail one after the other, not each within the previous one.
    */
@@ -407,10 +453,11 @@
 
   /** Answers each request with the same bytes. */
   private static final class ScriptedServer implements AutoCloseable {
-    private final ServerSocket socket = new ServerSocket(0, 10, InetAddress.getByName(LOOPBACK));
+    private final ServerSocket socket = new ServerSocket(0, 64, InetAddress.getByName(LOOPBACK));
     private final List<Socket> accepted = new ArrayList<>();
     private final List<Socket> silent = new ArrayList<>();
     private boolean allSilent;
+    private int requests;
     private final byte[] response;
     private final boolean cut;
 
@@ -432,6 +479,11 @@
       return accepted.size();
     }
 
+    /** Returns the number of requests so far, with those left unanswered. */
+    synchronized int requests() {
+      return requests;
+    }
+
     /** Leaves all further requests on the connections that are open now unanswered. */
     synchronized void silenceOpenConnections() {
       silent.addAll(accepted);
@@ -442,8 +494,10 @@
       allSilent = silenced;
     }
 
-    private synchronized boolean isSilent(Socket connection) {
-      return allSilent || silent.contains(connection);
+    /** Counts a request, and returns whether it is answered. */
+    private synchronized boolean isAnswered(Socket connection) {
+      requests++;
+      return !allSilent && !silent.contains(connection);
     }
 
     synchronized long openConnections() {
@@ -471,7 +525,7 @@
         BufferedReader in =
             new BufferedReader(new InputStreamReader(connection.getInputStream(), UTF_8));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
-          if (line.isEmpty() && !isSilent(connection)) {
+          if (line.isEmpty() && isAnswered(connection)) {
             connection.getOutputStream().write(response);
             if (cut) {
               return;
