--- a/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/LateOrderTest.java
@@ -273,6 +273,22 @@
     assertStartsElsewhereAfterLease(worker, sentStarts.get(0).run().task().id(), lastOrder);
   }
 
+  /** Guards against a held-back copy that only the answer to the repeated start reveals. */
+  @Test
+  void aTaskDoesNotStartElsewhereWhereNoReportButTheRepeatedStartShowedTheDelay() {
+    delayNextStart(9_000);
+    Job job = submit(1);
+    SimulatedWorker worker = runUntilStartIsSent();
+    runUntil(() -> worker.runs(taskOf(job)), 1_000);
+    simulation.run(20);
+    worker.disconnected = true;
+    long lastOrder = simulation.now;
+    simulation.run(500);
+    simulation.restartUnseen(worker);
+    simulation.run(7_800);
+    assertStartsElsewhereAfterLease(worker, taskOf(job), lastOrder);
+  }
+
   /** Guards against a stored stop of renewals that leaves out the longest delay of an order. */
   @Test
   void aTaskDoesNotStartElsewhereAfterAStoredStopWhileAnUnseenIncarnationRunsIt() {
