Keep the starts that a worker holds back for every later incarnation, and learn of them from any answer

Cause: the unanswered starts of a worker were forgotten when it confirmed a raised token; a second restart forgets that token too. And only a report showed that a worker held a start back, not the answer to a start that was sent later.

--- a/core/src/main/java/org/lavenderstage/core/pool/RestartedRuns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RestartedRuns.java
@@ -36,7 +36,6 @@
    * sent before, so the runs that it does not list will not be there.
    */
   void handleConfirmation(Worker worker, WorkerReport report) {
-    worker.unansweredOrders().clear();
     if (!report.isComplete()) {
       return;
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -60,8 +60,7 @@
     Worker worker = start.worker();
     Run run = start.run();
     if (result instanceof OrderResult.Unanswered) {
-      boolean heldBack = worker.lastReportPolledMillis() >= start.sentAtMillis();
-      worker.unansweredOrders().recordStart(start, heldBack, nowMillis);
+      worker.unansweredOrders().recordStart(start, nowMillis);
       run.recordStartUnanswered();
     }
     run.recordOrderEnded(nowMillis + REPEAT_PAUSE_MILLIS);
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -7,12 +7,13 @@
 import org.lavenderstage.core.job.TaskId;
 
 /**
- * Unanswered starts that a worker may still carry out, or its next incarnation until the fencing
- * token that was raised for that one is confirmed.
+ * Unanswered starts that a worker may still carry out. They are kept when an incarnation confirms a
+ * raised fencing token and ignores them from then on, since a later incarnation knows no token.
  */
 final class UnansweredOrders {
   private final Map<TaskId, Start> starts = new HashMap<>();
   private int startsInFlight;
+  private long lastAnsweredSentMillis = Long.MIN_VALUE / 2;
 
   /**
    * An unanswered start.
@@ -20,7 +21,7 @@
    * @param attempt number of the run
    * @param sentAtMillis monotonic time at which it was sent
    * @param unansweredSinceMillis monotonic time at which the answer was given up
-   * @param heldBack whether the worker has answered a poll that was sent later; then it has
+   * @param heldBack whether the worker has answered an order that was sent later; then it has
    *     probably received the start
    */
   record Start(int attempt, long sentAtMillis, long unansweredSinceMillis, boolean heldBack) {
@@ -49,18 +50,24 @@
   }
 
   /** Records that a start was not answered, so that a copy of it may be carried out later. */
-  void recordStart(Order.Start order, boolean heldBack, long monotonicMillis) {
+  void recordStart(Order.Start order, long monotonicMillis) {
     Run run = order.run();
+    boolean heldBack = order.sentAtMillis() <= lastAnsweredSentMillis;
     Start start = new Start(run.attempt(), order.sentAtMillis(), monotonicMillis, heldBack);
     starts.merge(
         run.task().id(), start, (old, latest) -> old.heldBack ? latest.asHeldBack() : latest);
   }
 
+  /** Records that the worker has answered an order that was sent at a monotonic time. */
+  void recordAnswer(long sentMillis) {
+    lastAnsweredSentMillis = Math.max(lastAnsweredSentMillis, sentMillis);
+    starts.replaceAll(
+        (task, start) -> start.sentAtMillis <= sentMillis ? start.asHeldBack() : start);
+  }
+
   /** Records a report to a poll sent at a monotonic time. */
   void recordReport(long polledMillis) {
     starts.values().removeIf(start -> !start.mayCome(polledMillis));
-    starts.replaceAll(
-        (task, start) -> start.sentAtMillis <= polledMillis ? start.asHeldBack() : start);
   }
 
   /** Returns the unanswered starts that may still be carried out. */
@@ -87,9 +94,4 @@
   int countSinceLastReport() {
     return starts.size();
   }
-
-  /** Records that the worker ignores all orders sent so far that it has not carried out yet. */
-  void clear() {
-    starts.clear();
-  }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -261,6 +261,9 @@
   void handleStartResult(Order.Start start, OrderResult result, long nowMillis) {
     Worker worker = start.worker();
     worker.unansweredOrders().recordStartEnded();
+    if (!(result instanceof OrderResult.Unanswered)) {
+      worker.unansweredOrders().recordAnswer(start.sentAtMillis());
+    }
     boolean otherIncarnation = leases.isOnOtherClock(start, result);
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
       raiseToken(worker, "clock");
@@ -368,6 +371,7 @@
     if (worker.fence().isConfirmed()) {
       worker.recordReportPolled(order.sentAtMillis());
     }
+    worker.unansweredOrders().recordAnswer(order.sentAtMillis());
     worker.unansweredOrders().recordReport(order.sentAtMillis());
     if (report.isComplete()) {
       worker.markReportedCompletely();
