Ask an unresponsive worker for its report at once

Cause: a poll to a worker that had left one unanswered still let it wait up to 1 s for a run to end. Change: no wait while a worker is unresponsive. Evidence: UnresponsiveWorkerTest failed in all four cases before (1,690 ms and more, 800 ms allowed).

--- a/core/src/main/java/org/lavenderstage/core/pool/ReportWait.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/ReportWait.java
@@ -22,6 +22,10 @@
 
   /** Returns the longest wait of a worker's next report in milliseconds. */
   static int maxMillis(Worker worker) {
+    if (worker.isUnresponsive()) {
+      // Its leases are renewed again, and it gets runs, from the next report on.
+      return 0;
+    }
     if (worker.hasRunsWithUnknownOutcome()) {
       return UNKNOWN_OUTCOME_WAIT_MILLIS;
     }
