Let tasks wait for held-back starts in four more cases, and no longer where none can come

Change: UnansweredOrders keeps all starts that may come late, those of previous owners too, and LateOrders is the one place that says which tasks they hold back. A task whose run was seen to end waits only where a restart is known: long- running tasks of drained workers would wait for 9 s otherwise (StrandedTaskTest).

--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -33,6 +33,8 @@
   private long speedLimitSinceMillis;
   private boolean speedLimitUncertain;
   private int maxSpeedPercent = FULL_SPEED_PERCENT;
+  private int startsSent;
+  private boolean onlyStartCarriedOut;
   private int unansweredStarts;
   private long startLeaseUntilMillis;
   private long startLeaseIncarnation;
@@ -141,6 +143,7 @@
    */
   public void recordStartSent(long leaseUntilMillis, long workerStartedAtMillis) {
     recordOrderSent();
+    startsSent++;
     // If the worker's clock was set back, a later copy contains an earlier end.
     startLeaseUntilMillis =
         startLeaseIncarnation == workerStartedAtMillis
@@ -173,6 +176,30 @@
         && workerClockMillis > startLeaseUntilMillis;
   }
 
+  /**
+   * Returns whether this owner has sent exactly one copy of the start order.
+   *
+   * @return whether that copy has started the run, if it runs
+   */
+  public boolean isStartedOnce() {
+    return startsSent == 1;
+  }
+
+  /** Records that the only copy of the start order was carried out, so that none is to come. */
+  public void markOnlyStartCarriedOut() {
+    onlyStartCarriedOut = true;
+  }
+
+  /**
+   * Returns whether the only copy of the start order was carried out before its answer was given
+   * up.
+   *
+   * @return whether no copy is to come although one was not answered
+   */
+  public boolean isOnlyStartCarriedOut() {
+    return onlyStartCarriedOut && startsSent == 1;
+  }
+
   /** Records that a copy of the start order was not answered. */
   public void recordStartUnanswered() {
     unansweredStarts++;
--- a/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
@@ -1,10 +1,9 @@
 package org.lavenderstage.core.pool;
 
-import java.util.List;
-import java.util.Optional;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Set;
-import java.util.stream.Collectors;
-import org.lavenderstage.core.job.Run;
+import org.lavenderstage.core.job.TaskId;
 
 /**
  * Decides which tasks may run on a worker that is not heard of beyond the leases that its owner
@@ -20,51 +19,67 @@
   }
 
   /**
-   * Returns whether a tracked run may be active although its lease has expired. It may if the
-   * worker has probably restarted and may have carried out a start since its last report, or if the
-   * worker holds the start back and may have restarted where it cannot be listed.
+   * Returns the tasks of whose tracked runs on a worker none has ended although the leases have
+   * expired: those of all unanswered starts if the worker has probably restarted; otherwise those
+   * of starts that it holds back, since it may have restarted where it cannot be listed.
    */
-  boolean mayRun(Worker worker, Run run, long nowMillis) {
-    return nowMillis <= leases.lateLeaseExpiryMillis(worker) && mayStartLate(worker, run);
+  Set<TaskId> tasksThatMayRun(Worker worker, long nowMillis) {
+    if (isOver(worker, nowMillis)) {
+      return Set.of();
+    }
+    boolean restarted = worker.fence().isRestartPending();
+    return worker.unansweredOrders().tasks(start -> restarted || start.heldBack());
   }
 
-  private static boolean mayStartLate(Worker worker, Run run) {
-    Optional<UnansweredOrders.Start> start =
-        worker.unansweredOrders().sinceLastReport(run.task().id());
-    if (worker.fence().isRestartPending()) {
-      return start.isPresent() || run.stateSinceMillis() >= worker.lastReportPolledMillis();
-    }
-    return start.filter(UnansweredOrders.Start::heldBack).isPresent();
+  /**
+   * Returns the tasks that are not to be started although no run of them is tracked. A task whose
+   * run on a worker was seen to end does not wait for an unlikely restart of that worker.
+   */
+  Set<TaskId> awaitedTasks(Collection<Worker> workers, long nowMillis) {
+    Set<TaskId> tasks = new HashSet<>();
+    workers.forEach(worker -> tasks.addAll(awaitedTasks(worker, nowMillis)));
+    return tasks;
+  }
+
+  private Set<TaskId> awaitedTasks(Worker worker, long nowMillis) {
+    boolean restarted = worker.fence().isRestartPending();
+    boolean concerned = restarted || worker.isUnresponsive();
+    return concerned && !isOver(worker, nowMillis)
+        ? worker.unansweredOrders().tasks(start -> restarted || start.isKnownFromRecord())
+        : Set.of();
   }
 
-  /** Returns the tracked tasks that may run on a worker although their leases have expired. */
-  static Set<String> tasksThatMayStartLate(Worker worker) {
-    return worker.runs().stream()
-        .filter(run -> mayStartLate(worker, run))
-        .map(run -> run.task().id().toString())
-        .collect(Collectors.toSet());
+  private boolean isOver(Worker worker, long nowMillis) {
+    return nowMillis > leases.lateLeaseExpiryMillis(worker);
+  }
+
+  /** Returns the tasks that a later owner is not to start before the late orders are over. */
+  static Set<TaskId> tasksToStore(Worker worker) {
+    boolean restarted = worker.fence().isRestartPending();
+    Set<TaskId> tasks =
+        worker.unansweredOrders().tasks(start -> restarted || start.isKnownFromRecord());
+    if (!restarted) {
+      Set<TaskId> heldBack = worker.unansweredOrders().tasks(UnansweredOrders.Start::heldBack);
+      worker.runs().stream()
+          .map(run -> run.task().id())
+          .filter(heldBack::contains)
+          .forEach(tasks::add);
+    }
+    return tasks;
   }
 
   /**
-   * Returns whether runs of a previous owner may be active on a worker although their leases have
-   * expired. Of a worker whose restart is not known, only the owner that received its last report
-   * knows which starts it holds back.
+   * Returns whether any run of a previous owner may be active on a worker although the leases have
+   * expired. A new owner does not know which starts the worker has received before its restart.
    */
   boolean mayHaveInheritedRuns(Worker worker, long nowMillis) {
-    boolean mayStartLate =
-        worker.fence().isRestartPending()
-            || worker.renewal().stop().filter(stop -> !stop.mayStartLate().isEmpty()).isPresent();
-    return mayStartLate && nowMillis <= leases.lateLeaseExpiryMillis(worker);
+    return worker.isInherited() && worker.fence().isRestartPending() && !isOver(worker, nowMillis);
   }
 
-  /**
-   * Returns the tasks to which {@link #mayHaveInheritedRuns} refers.
-   *
-   * @return identifiers of tasks, empty if any inherited task may be concerned
-   */
-  static Optional<List<String>> inheritedTasks(Worker worker) {
-    return worker.fence().isRestartPending()
-        ? worker.renewal().inheritedTasks().map(List::copyOf)
-        : worker.renewal().stop().map(RenewalStop::mayStartLate).map(List::copyOf);
+  /** Returns whether nothing can run on a worker whose leases have expired. */
+  boolean areRunsOver(Worker worker, long nowMillis) {
+    return worker.isIdle()
+        && awaitedTasks(worker, nowMillis).isEmpty()
+        && !mayHaveInheritedRuns(worker, nowMillis);
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -13,6 +13,7 @@
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.Task;
+import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.placement.Resources;
 
 /**
@@ -85,6 +86,7 @@
   private int rank;
   private boolean inheritancePending;
   private Set<String> unreportedTasks = Set.of();
+  private Set<TaskId> lateTasks = Set.of();
   private final Preemption preemption;
 
   /** Whether most of the capacity of a service is free in this round. */
@@ -121,6 +123,7 @@
   void placeWaitingTasks(boolean anyMayRun, long nowMillis) {
     inheritancePending = anyMayRun;
     unreportedTasks = workers.unreportedRuns().listedTasks(nowMillis);
+    lateTasks = workers.lateOrders().awaitedTasks(workers.all(), nowMillis);
     preemption.beginRound(nowMillis);
     mostFreeServices.clear();
     unplaceable.clear();
@@ -150,7 +153,7 @@
       WorkerSelector selector,
       Map<SearchKey, Long> longestPlaceableMillis,
       long nowMillis) {
-    boolean allReported = !inheritancePending && unreportedTasks.isEmpty();
+    boolean allReported = !inheritancePending && unreportedTasks.isEmpty() && lateTasks.isEmpty();
     if (allReported && !step.spec().gang() && !step.spec().lasting()) {
       placeTasksInOrder(step.tasks(), selector, longestPlaceableMillis, nowMillis);
       return;
@@ -187,10 +190,12 @@
     placeTasksInOrder(waiting, selector, longestPlaceableMillis, nowMillis);
   }
 
-  /** Returns whether a task may have a run of a previous owner that is not reported yet. */
+  /** Returns whether a task may have a run that is not reported yet. */
   private boolean mayRunUnreported(Task task) {
-    return task.isInherited()
-        && (inheritancePending || unreportedTasks.contains(task.id().toString()));
+    boolean mayRunInherited =
+        task.isInherited()
+            && (inheritancePending || unreportedTasks.contains(task.id().toString()));
+    return mayRunInherited || lateTasks.contains(task.id());
   }
 
   /** Places the tasks that wait, up to the first that does not fit. */
--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.job.WorkerRecord;
 
 /**
@@ -58,8 +59,7 @@
         new RenewalStop(
             record.renewalStop(),
             record.sinceRenewalMillis(),
-            Optional.ofNullable(record.mayRun()).map(Set::copyOf),
-            Optional.ofNullable(record.mayStartLate()).map(Set::copyOf).orElse(Set.of()));
+            Optional.ofNullable(record.mayRun()).map(Set::copyOf));
     worker.renewal().restore(stop);
     long knownSinceMillis = renewalStops.knownSinceMillis(stop.number()).orElse(nowMillis);
     worker
@@ -90,8 +90,7 @@
         new RenewalStop(
             ++lastNumber,
             nowMillis - renewedMillis,
-            listed ? Optional.of(Set.copyOf(tasks)) : Optional.empty(),
-            LateOrders.tasksThatMayStartLate(worker));
+            listed ? Optional.of(Set.copyOf(tasks)) : Optional.empty());
     worker.renewal().stop(stop);
     log.record(
         Decision.RENEWAL_STOPPED,
@@ -104,7 +103,7 @@
         "tasks",
         listed ? tasks.size() : "unknown",
         "late",
-        stop.mayStartLate().size());
+        LateOrders.tasksToStore(worker).size());
     return true;
   }
 
@@ -121,6 +120,12 @@
 
   WorkerRecord createRecord(Worker worker) {
     Optional<RenewalStop> stop = worker.renewal().stop();
+    boolean restartPending = worker.fence().isRestartPending();
+    // A worker that is heard reports what it has started.
+    List<String> mayStartLate =
+        stop.isPresent() || restartPending
+            ? LateOrders.tasksToStore(worker).stream().map(TaskId::toString).toList()
+            : List.of();
     return new WorkerRecord(
         worker.id(),
         Long.toString(worker.startedAtMillis()),
@@ -130,8 +135,8 @@
         stop.map(RenewalStop::number).orElse(0L),
         stop.map(RenewalStop::sinceRenewalMillis).orElse(0L),
         stop.flatMap(RenewalStop::mayRun).map(List::copyOf).orElse(null),
-        worker.fence().isRestartPending(),
-        stop.map(RenewalStop::mayStartLate).map(List::copyOf).orElse(List.of()));
+        restartPending,
+        mayStartLate);
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalStop.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalStop.java
@@ -11,8 +11,5 @@
  * @param sinceRenewalMillis least time from the last renewal to the decision, in milliseconds;
  *     negative if the worker may have granted a longer lease than the owner requests
  * @param mayRun identifiers of all tasks that may run on the worker, empty if they are not known
- * @param mayStartLate identifiers of the tasks that may run there even after their leases, since
- *     the worker may have restarted and carries out their starts late
  */
-record RenewalStop(
-    long number, long sinceRenewalMillis, Optional<Set<String>> mayRun, Set<String> mayStartLate) {}
+record RenewalStop(long number, long sinceRenewalMillis, Optional<Set<String>> mayRun) {}
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -60,7 +60,9 @@
     Worker worker = start.worker();
     Run run = start.run();
     if (result instanceof OrderResult.Unanswered) {
-      worker.unansweredOrders().recordStart(start, nowMillis);
+      if (!run.isOnlyStartCarriedOut()) {
+        worker.unansweredOrders().recordStart(start, nowMillis);
+      }
       run.recordStartUnanswered();
     }
     run.recordOrderEnded(nowMillis + REPEAT_PAUSE_MILLIS);
@@ -227,6 +229,10 @@
       return;
     }
     seen.add(run.get());
+    if (run.get().isStartedOnce() && worker.fence().isConfirmed()) {
+      run.get().markOnlyStartCarriedOut();
+      worker.unansweredOrders().recordCarriedOut(active.task(), active.attempt());
+    }
     run.get().updateReport(active.percent(), active.load());
     run.get().task().updateCheckpoint(active.checkpoint());
     if (run.get().state() == Run.State.STARTING) {
@@ -248,6 +254,9 @@
       run.markSpeedLimitUncertain();
     }
     track(worker, run);
+    if (worker.isInherited()) {
+      worker.unansweredOrders().recordInherited(task.id(), run.attempt(), false, nowMillis);
+    }
     recordBegun(task);
     return run;
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -1,8 +1,10 @@
 package org.lavenderstage.core.pool;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.lavenderstage.core.job.Run;
 import org.lavenderstage.core.job.TaskId;
 
@@ -11,6 +13,9 @@
  * raised fencing token and ignores them from then on, since a later incarnation knows no token.
  */
 final class UnansweredOrders {
+  /** No answer to this owner's orders shows that a start of a previous owner was received. */
+  private static final long SENT_BY_PREVIOUS_OWNER = Long.MAX_VALUE;
+
   private final Map<TaskId, Start> starts = new HashMap<>();
   private int startsInFlight;
   private long lastAnsweredSentMillis = Long.MIN_VALUE / 2;
@@ -29,6 +34,11 @@
       return monotonicMillis - unansweredSinceMillis <= WorkerLeases.MAX_ORDER_DELAY_MILLIS;
     }
 
+    /** Returns whether a stored record of a previous owner says that the start is held back. */
+    boolean isKnownFromRecord() {
+      return heldBack && sentAtMillis == SENT_BY_PREVIOUS_OWNER;
+    }
+
     private Start asHeldBack() {
       return new Start(attempt, sentAtMillis, unansweredSinceMillis, true);
     }
@@ -58,6 +68,21 @@
         run.task().id(), start, (old, latest) -> old.heldBack ? latest.asHeldBack() : latest);
   }
 
+  /**
+   * Records that the worker may hold back the start of a task by a previous owner.
+   *
+   * @param heldBack whether the previous owner knew that, instead of that the task was started
+   */
+  void recordInherited(TaskId task, int attempt, boolean heldBack, long monotonicMillis) {
+    Start start = new Start(attempt, SENT_BY_PREVIOUS_OWNER, monotonicMillis, heldBack);
+    starts.merge(task, start, (old, latest) -> old.heldBack ? latest.asHeldBack() : latest);
+  }
+
+  /** Records that the only copy of a start was carried out. */
+  void recordCarriedOut(TaskId task, int attempt) {
+    starts.computeIfPresent(task, (id, start) -> start.attempt == attempt ? null : start);
+  }
+
   /** Records that the worker has answered an order that was sent at a monotonic time. */
   void recordAnswer(long sentMillis) {
     lastAnsweredSentMillis = Math.max(lastAnsweredSentMillis, sentMillis);
@@ -77,21 +102,26 @@
     return pending;
   }
 
-  /** Returns whether an unanswered start may still be carried out. */
+  /** Returns whether an unanswered start of this owner may still be carried out. */
   boolean isAnyPending(long monotonicMillis) {
-    return starts.values().stream().anyMatch(start -> start.mayCome(monotonicMillis));
+    return starts.values().stream()
+        .anyMatch(
+            start ->
+                start.sentAtMillis != SENT_BY_PREVIOUS_OWNER && start.mayCome(monotonicMillis));
   }
 
   /**
-   * Returns the unanswered start of a task that the worker may have carried out since its last
-   * report, or may still carry out.
+   * Returns the tasks with unanswered starts of some kind that the worker may have carried out
+   * since its last report or may still carry out.
    */
-  Optional<Start> sinceLastReport(TaskId task) {
-    return Optional.ofNullable(starts.get(task));
-  }
-
-  /** Returns the number of unanswered starts since the last report, carried out or not. */
-  int countSinceLastReport() {
-    return starts.size();
+  Set<TaskId> tasks(Predicate<Start> included) {
+    Set<TaskId> tasks = new HashSet<>();
+    starts.forEach(
+        (task, start) -> {
+          if (included.test(start)) {
+            tasks.add(task);
+          }
+        });
+    return tasks;
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnreportedRuns.java
@@ -1,8 +1,6 @@
 package org.lavenderstage.core.pool;
 
 import java.util.Collection;
-import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -25,7 +23,7 @@
 
   /** Returns whether any task may have a run of a previous owner that is not reported yet. */
   boolean isAnyTaskConcerned(long nowMillis) {
-    return unreported(nowMillis).anyMatch(worker -> tasks(worker, nowMillis).isEmpty());
+    return unreported(nowMillis).anyMatch(worker -> worker.renewal().inheritedTasks().isEmpty());
   }
 
   /** Counts the workers of a previous owner that may have runs not reported yet. */
@@ -36,8 +34,8 @@
   /** Returns the listed tasks that may have a run of a previous owner that is not reported yet. */
   Set<String> listedTasks(long nowMillis) {
     return unreported(nowMillis)
-        .flatMap(worker -> tasks(worker, nowMillis).stream())
-        .flatMap(List::stream)
+        .flatMap(worker -> worker.renewal().inheritedTasks().stream())
+        .flatMap(Set::stream)
         .collect(Collectors.toSet());
   }
 
@@ -49,11 +47,4 @@
                 nowMillis <= worker.lease().expiryMillis()
                     || lateOrders.mayHaveInheritedRuns(worker, nowMillis));
   }
-
-  /** Returns the tasks that may run on a worker, empty if any inherited task may run there. */
-  private static Optional<List<String>> tasks(Worker worker, long nowMillis) {
-    return nowMillis <= worker.lease().expiryMillis()
-        ? worker.renewal().inheritedTasks().map(List::copyOf)
-        : LateOrders.inheritedTasks(worker);
-  }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -39,7 +39,6 @@
   private long clockOffsetMillis;
   private boolean clockKnown;
   private final LeaseCount lease = new LeaseCount();
-  private long lastReportPolledMillis = Long.MIN_VALUE / 2;
   private EndedRunNumbers ends = new EndedRunNumbers();
   private boolean pollInFlight;
   private String polledAddress = "";
@@ -102,7 +101,6 @@
     startedAtMillis = newStartedAtMillis;
     ends = new EndedRunNumbers();
     clockKnown = false;
-    lastReportPolledMillis = Long.MIN_VALUE / 2;
   }
 
   /** Returns the fencing token of the orders to this worker. */
@@ -146,11 +144,21 @@
     return !inherited || reportedCompletely;
   }
 
-  /** Records that the worker may have runs of a previous owner. */
+  /** Records that the worker may have runs of a previous owner, or get its delayed orders. */
   void markInherited() {
     inherited = true;
   }
 
+  /** Returns whether orders of a previous owner may have started tasks here, or still may. */
+  boolean isInherited() {
+    return inherited;
+  }
+
+  /** Records that all runs are tracked, and that no order of a previous owner is to come. */
+  void clearInherited() {
+    inherited = false;
+  }
+
   /** Returns whether a record of the worker is stored or may still be stored. */
   boolean mayHaveRecord() {
     return recordMayBeStored;
@@ -196,8 +204,8 @@
     return reportedCompletely;
   }
 
-  void markReportedCompletely() {
-    reportedCompletely = true;
+  void setReportedCompletely(boolean complete) {
+    reportedCompletely = complete;
   }
 
   /** Returns whether the clock of the incarnation that receives the orders is known. */
@@ -220,15 +228,6 @@
     return lease;
   }
 
-  /** Returns when the poll was sent that the worker answered last, in monotonic millis. */
-  long lastReportPolledMillis() {
-    return lastReportPolledMillis;
-  }
-
-  void recordReportPolled(long polledMillis) {
-    lastReportPolledMillis = Math.max(lastReportPolledMillis, polledMillis);
-  }
-
   /** Returns the numbers of the ended runs of the current incarnation. */
   EndedRunNumbers ends() {
     return ends;
@@ -334,6 +333,11 @@
     return runs.isEmpty();
   }
 
+  /** Returns whether nothing runs here and no unanswered start may still be carried out. */
+  boolean isEmpty(long monotonicMillis) {
+    return reported && isIdle() && !unansweredOrders.isAnyPending(monotonicMillis);
+  }
+
   Optional<Run> run(TaskId task, int attempt) {
     return runs.getOrDefault(task, List.of()).stream()
         .filter(run -> run.attempt() == attempt)
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerLeases.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerLeases.java
@@ -47,6 +47,11 @@
         + timing.longestForeignLeaseMillis();
   }
 
+  /** Returns whether no order that was sent until a monotonic time is carried out any more. */
+  boolean areDelayedOrdersOver(long lastOrderMillis, long nowMillis) {
+    return nowMillis > lastOrderMillis + MAX_ORDER_DELAY_MILLIS;
+  }
+
   /**
    * Returns whether the answer to a start shows a clock that was set back since the last report.
    */
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerTable.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.job.WorkerRecord;
 
 /**
@@ -67,6 +69,11 @@
     return leases;
   }
 
+  /** Returns which tasks may run on workers because of delayed orders. */
+  LateOrders lateOrders() {
+    return lateOrders;
+  }
+
   /** Returns which tasks may have runs of previous owners that are not known. */
   UnreportedRuns unreportedRuns() {
     return unreportedRuns;
@@ -87,6 +94,10 @@
       worker.lease().extend(previousOwnerInactiveMillis + timing.longestForeignLeaseMillis());
       worker.lease().recordOrder(previousOwnerInactiveMillis);
     }
+    Optional.ofNullable(record.mayStartLate()).stream()
+        .flatMap(List::stream)
+        .map(TaskId::parse)
+        .forEach(task -> worker.unansweredOrders().recordInherited(task, 0, true, nowMillis));
     if (record.restartPending()) {
       raiseToken(worker, "record");
     }
@@ -137,6 +148,9 @@
 
   private void raiseToken(Worker worker, String cause) {
     worker.fence().raise();
+    if (worker.isInherited()) {
+      worker.setReportedCompletely(false);
+    }
     if (worker.mayHaveRecord()) {
       records.markChanged(worker);
     }
@@ -149,7 +163,7 @@
         "fencing-token",
         worker.fence().token(),
         "unanswered-starts",
-        worker.unansweredOrders().countSinceLastReport());
+        worker.unansweredOrders().tasks(start -> true).size());
   }
 
   /**
@@ -190,7 +204,8 @@
       if (leaseExpired && worker.isUnresponsive() && !worker.isIdle()) {
         markExpired(worker, nowMillis);
       }
-      boolean noRuns = leaseExpired ? isOver(worker, nowMillis) : isEmpty(worker, nowMillis);
+      boolean noRuns =
+          leaseExpired ? lateOrders.areRunsOver(worker, nowMillis) : worker.isEmpty(nowMillis);
       if (noRuns && worker.isUnresponsive() && worker.listing().isEmpty()) {
         log.record(Decision.WORKER_GONE, "worker", worker.id());
         records.discard(worker);
@@ -209,7 +224,7 @@
   private void removeRecordIfEmpty(Worker worker, long nowMillis) {
     boolean allAcknowledged = worker.isIncarnationStored() && worker.ends().isAllAcknowledged();
     if (allAcknowledged
-        && isEmpty(worker, nowMillis)
+        && worker.isEmpty(nowMillis)
         && !worker.isUnresponsive()
         && !records.isChanged(worker)) {
       worker.setRecordRemoved(true);
@@ -217,24 +232,11 @@
     }
   }
 
-  /** Returns whether nothing runs on a worker and no unanswered start may still be carried out. */
-  private static boolean isEmpty(Worker worker, long nowMillis) {
-    return worker.hasReported()
-        && worker.isIdle()
-        && !worker.unansweredOrders().isAnyPending(nowMillis);
-  }
-
-  /** Returns whether nothing can run on a worker whose leases have expired. */
-  private boolean isOver(Worker worker, long nowMillis) {
-    boolean inheritedOver =
-        worker.hasReportedCompletely() || !lateOrders.mayHaveInheritedRuns(worker, nowMillis);
-    return worker.isIdle() && inheritedOver;
-  }
-
   /** Marks the runs as lost whose leases have expired, except those that may start late. */
   private void markExpired(Worker worker, long nowMillis) {
+    Set<TaskId> lateTasks = lateOrders.tasksThatMayRun(worker, nowMillis);
     worker.runs().stream()
-        .filter(run -> !lateOrders.mayRun(worker, run, nowMillis))
+        .filter(run -> !lateTasks.contains(run.task().id()))
         .forEach(run -> runs.markLost(worker, run, "lease expired"));
     worker.setReported(false);
   }
@@ -268,6 +270,10 @@
     if (otherIncarnation && start.fencingToken() == worker.fence().token()) {
       raiseToken(worker, "clock");
     }
+    if (otherIncarnation) {
+      // Delayed renewals may prolong the lease that the other incarnation has granted.
+      worker.unansweredOrders().recordStart(start, nowMillis);
+    }
     if (otherIncarnation || result instanceof OrderResult.Unanswered) {
       leases.extendForeign(worker, nowMillis);
     }
@@ -368,13 +374,13 @@
       worker.ends().recordAcknowledged(order.acknowledgedUpTo());
     }
     worker.sampleClock(report.clockMillis(), nowMillis);
-    if (worker.fence().isConfirmed()) {
-      worker.recordReportPolled(order.sentAtMillis());
-    }
     worker.unansweredOrders().recordAnswer(order.sentAtMillis());
     worker.unansweredOrders().recordReport(order.sentAtMillis());
-    if (report.isComplete()) {
-      worker.markReportedCompletely();
+    if (report.isComplete() && worker.fence().isConfirmed()) {
+      worker.setReportedCompletely(true);
+      if (leases.areDelayedOrdersOver(previousOwnerInactiveMillis, order.sentAtMillis())) {
+        worker.clearInherited();
+      }
     }
     if (!worker.hasReported()) {
       worker.setReported(true);
