Let a new owner wait for held-back starts before its first poll fails

Cause: the tasks of a stored list waited only while their worker was unresponsive, which it is not before the first poll of a new owner has failed. Where the plain leases were over by then, the task started at once while a late start of it ran. Change: they wait until the worker has reported; the list is also stored again where the stop itself could not be restored.

--- a/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
@@ -43,8 +43,8 @@
 
   private Set<TaskId> awaitedTasks(Worker worker, long nowMillis) {
     boolean restarted = worker.fence().isRestartPending();
-    boolean concerned = restarted || worker.isUnresponsive();
-    return concerned && !isOver(worker, nowMillis)
+    boolean heard = worker.hasReported() && !worker.isUnresponsive();
+    return (restarted || !heard) && !isOver(worker, nowMillis)
         ? worker.unansweredOrders().tasks(start -> restarted || start.isKnownFromRecord())
         : Set.of();
   }
@@ -58,7 +58,7 @@
     boolean restarted = worker.fence().isRestartPending();
     Set<TaskId> tasks =
         worker.unansweredOrders().tasks(start -> restarted || start.isKnownFromRecord());
-    if (!restarted) {
+    if (!restarted && worker.renewal().stop().isPresent()) {
       Set<TaskId> heldBack = worker.unansweredOrders().tasks(UnansweredOrders.Start::heldBack);
       worker.runs().stream()
           .map(run -> run.task().id())
--- a/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RenewalPolicy.java
@@ -121,11 +121,8 @@
   WorkerRecord createRecord(Worker worker) {
     Optional<RenewalStop> stop = worker.renewal().stop();
     boolean restartPending = worker.fence().isRestartPending();
-    // A worker that is heard reports what it has started.
     List<String> mayStartLate =
-        stop.isPresent() || restartPending
-            ? LateOrders.tasksToStore(worker).stream().map(TaskId::toString).toList()
-            : List.of();
+        LateOrders.tasksToStore(worker).stream().map(TaskId::toString).toList();
     return new WorkerRecord(
         worker.id(),
         Long.toString(worker.startedAtMillis()),
