--- a/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/LateOrders.java
@@ -19,7 +19,7 @@
   }
 
   /**
-   * Returns the tasks of whose tracked runs on a worker none has ended although the leases have
+   * Returns the tasks whose tracked runs on a worker may be active although its leases have
    * expired: those of all unanswered starts if the worker has probably restarted; otherwise those
    * of starts that it holds back, since it may have restarted where it cannot be listed.
    */
