Start no entry of a review case after the case has ended

Cause: the thread that restarts processes could start one while the case ended; a trial of case 11 left four behind. Change: review/standin-3/Entries.java. No code of the service.

--- a/review/standin-3/Entries.java
+++ b/review/standin-3/Entries.java
@@ -32,6 +32,7 @@
   private final int port;
   private final List<Process> processes = new ArrayList<>();
   private int starts;
+  private boolean closed;
 
   Entries(Path root, Store store, Notes notes, long holdMaxMillis, int statusSeconds)
       throws IOException {
@@ -83,7 +84,10 @@
   }
 
   /** Starts an entry, or starts one again. */
-  void start(int node) throws IOException {
+  synchronized void start(int node) throws IOException {
+    if (closed) {
+      return;
+    }
     Path settings = folder.resolve("settings-" + node + ".toml");
     Files.writeString(
         settings,
@@ -280,6 +284,7 @@
   /** Ends all processes, and removes what was written; the logs stay where LOGS names a folder. */
   @Override
   public synchronized void close() {
+    closed = true;
     processes.forEach(Process::destroyForcibly);
     String keep = System.getenv("LOGS");
     try (Stream<Path> files = Files.walk(folder)) {
