--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -309,12 +309,15 @@
    * @param task the task
    * @param attempt number of the run
    * @param wallMillis wall-clock time in milliseconds since 1970
+   * @return whether the run was not counted before, by this owner or a previous one
    */
-  public void recordTaskFailure(Task task, int attempt, long wallMillis) {
-    int failures = task.step().recordFailure(task, attempt);
-    if (!task.step().spec().lasting() && failures >= rules().maxAttempts()) {
+  public boolean recordTaskFailure(Task task, int attempt, long wallMillis) {
+    JobStep step = task.step();
+    boolean isNew = step.recordFailure(task, attempt);
+    if (!step.spec().lasting() && step.failuresOf(task) >= rules().maxAttempts()) {
       end(JobPhase.FAILED, wallMillis);
     }
+    return isNew;
   }
 
   /**
@@ -343,7 +346,8 @@
   }
 
   private static StepProgress occurrenceDone(int occurrence) {
-    return new StepProgress(occurrence, -1, new byte[0], List.of(), List.of(), new byte[0]);
+    return new StepProgress(
+        occurrence, -1, new byte[0], List.of(), List.of(), new byte[0], List.of());
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/job/JobStep.java
+++ b/core/src/main/java/org/lavenderstage/core/job/JobStep.java
@@ -105,13 +105,21 @@
   }
 
   /**
-   * Counts a failed run and returns the number of failures. Failures of several members of a gang
-   * in the same attempt count once.
+   * Counts a failed run. Failures of several members of a gang in the same attempt count once.
+   *
+   * @return whether the run was not counted before
    */
-  int recordFailure(Task task, int attempt) {
-    Task countingTask = spec.gang() ? tasks.get(0) : task;
-    countingTask.markFailed(attempt);
-    return countingTask.failures();
+  boolean recordFailure(Task task, int attempt) {
+    return countingTask(task).markFailed(attempt);
+  }
+
+  /** Returns the number of failed runs that count for a task; those of a gang count together. */
+  int failuresOf(Task task) {
+    return countingTask(task).failures();
+  }
+
+  private Task countingTask(Task task) {
+    return spec.gang() ? tasks.get(0) : task;
   }
 
   boolean hasProgress() {
@@ -136,21 +144,34 @@
         anyCheckpoints
             ? tasks.stream().map(t -> t.isDone() ? "" : t.checkpoint()).toList()
             : List.of();
+    List<List<Integer>> failedAttempts =
+        anyFailures ? tasks.stream().map(Task::failedAttempts).toList() : List.of();
     return new StepProgress(
-        occurrence, number, done.toByteArray(), failures, checkpoints, begun.toByteArray());
+        occurrence,
+        number,
+        done.toByteArray(),
+        failures,
+        checkpoints,
+        begun.toByteArray(),
+        failedAttempts);
   }
 
   void restore(StepProgress progress) {
     BitSet done = BitSet.valueOf(progress.done());
     BitSet begun = progress.begun() == null ? new BitSet() : BitSet.valueOf(progress.begun());
+    List<List<Integer>> failedAttempts =
+        progress.failedAttempts() == null ? List.of() : progress.failedAttempts();
     doneCount = 0;
     for (Task task : tasks) {
       int i = task.id().index();
-      int failures = i < progress.failures().size() ? progress.failures().get(i) : 0;
-      String savedCheckpoint =
-          i < progress.checkpoints().size() ? progress.checkpoints().get(i) : "";
-      task.restore(done.get(i), failures, savedCheckpoint, begun.get(i));
+      task.restore(done.get(i), elementAt(progress.checkpoints(), i, ""), begun.get(i));
+      task.restoreFailures(
+          elementAt(progress.failures(), i, 0), elementAt(failedAttempts, i, List.of()));
       doneCount += done.get(i) ? 1 : 0;
     }
   }
+
+  private static <T> T elementAt(List<T> list, int index, T absent) {
+    return index < list.size() ? list.get(index) : absent;
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -1,9 +1,10 @@
 package org.lavenderstage.core.job;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** One task of a step, with its progress and the runs that may be active. */
 public final class Task {
@@ -16,7 +17,7 @@
   private int failures;
   private int lastAttempt;
   private int unusedAttempt;
-  private final Set<Integer> failedAttempts = new HashSet<>();
+  private final Set<Integer> failedAttempts = new TreeSet<>();
   private String checkpoint = "";
   private long notBeforeMillis;
   private boolean inherited;
@@ -219,17 +220,38 @@
     return wasOpen;
   }
 
-  /** Counts a failed run once, however often and in whatever order workers report its end. */
-  void markFailed(int attempt) {
-    if (failedAttempts.add(attempt)) {
-      failures++;
-    }
+  /**
+   * Counts a failed run once, however often and in whatever order workers report its end to this
+   * owner or a later one. No limit depends on the number for a long-running task, and its runs may
+   * fail any number of times, so that their attempts are not kept.
+   *
+   * @return whether the run was not counted before
+   */
+  boolean markFailed(int attempt) {
+    boolean isNew = step.spec().lasting() || failedAttempts.add(attempt);
+    failures += isNew ? 1 : 0;
+    return isNew;
+  }
+
+  /** Returns the attempts of the failed runs that are counted; none of a long-running task. */
+  List<Integer> failedAttempts() {
+    return List.copyOf(failedAttempts);
   }
 
-  void restore(boolean wasDone, int failureCount, String savedCheckpoint, boolean hadBegun) {
+  void restore(boolean wasDone, String savedCheckpoint, boolean hadBegun) {
     done = wasDone;
     begun = hadBegun;
-    failures = failureCount;
     checkpoint = savedCheckpoint;
   }
+
+  /**
+   * Restores the number of failed runs.
+   *
+   * @param failureCount number of failed runs
+   * @param attempts their attempts, as far as they are stored
+   */
+  void restoreFailures(int failureCount, Collection<Integer> attempts) {
+    failures = failureCount;
+    failedAttempts.addAll(attempts);
+  }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -348,13 +348,17 @@
     if (job.phase() != JobPhase.ACTIVE || task.isDone()) {
       return;
     }
+    boolean countedBefore =
+        ended.kind() == EndKind.FAILED && !job.recordTaskFailure(task, ended.attempt(), wallMillis);
+    if (countedBefore && !task.step().spec().gang()) {
+      // A worker lists an end until it is acknowledged; the checkpoint may be outdated by now.
+      return;
+    }
     task.updateCheckpoint(ended.checkpoint());
     boolean longRunning = task.step().spec().lasting();
     if (ended.kind() == EndKind.DONE && !longRunning) {
       job.recordTaskDone(task, wallMillis);
       stopAll(task.step(), Task::isDone, "another copy is done", nowMillis);
-    } else if (ended.kind() == EndKind.FAILED) {
-      job.recordTaskFailure(task, ended.attempt(), wallMillis);
     }
     jobs.markProgressChanged(job);
     stopIfEnded(job, nowMillis);
