--- a/core/src/main/java/org/lavenderstage/core/job/JobStep.java
+++ b/core/src/main/java/org/lavenderstage/core/job/JobStep.java
@@ -118,7 +118,8 @@
     return countingTask(task).failures();
   }
 
-  private Task countingTask(Task task) {
+  /** Returns the task for which failures are counted, the first one of a gang. */
+  Task countingTask(Task task) {
     return spec.gang() ? tasks.get(0) : task;
   }
 
--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -20,6 +20,8 @@
   private final Set<Integer> failedAttempts = new TreeSet<>();
   private String checkpoint = "";
   private long notBeforeMillis;
+  private int earlyFailures;
+  private int lastEarlyFailure;
   private boolean inherited;
   private boolean begun;
   private long interruptedSinceMillis = NOT_INTERRUPTED;
@@ -162,13 +164,58 @@
   }
 
   /**
-   * Returns whether this is a long-running task that has lost its run and waits for another one.
+   * Returns whether this is a long-running task that has lost its run and waits for another one. A
+   * task whose runs fail again and again has lost nothing that others would have to leave to it.
    *
    * @param monotonicMillis monotonic time in milliseconds
    * @return whether the task is interrupted
    */
   public boolean isInterrupted(long monotonicMillis) {
-    return begun && isWaiting(monotonicMillis);
+    return begun && !failsRepeatedly() && isWaiting(monotonicMillis);
+  }
+
+  /**
+   * Returns whether the latest runs of the task, or of its gang, failed soon after their start, so
+   * that it is started again after growing pauses only.
+   *
+   * @return whether the restarts are paced
+   */
+  public boolean failsRepeatedly() {
+    return FailureBackoff.isPaced(step.countingTask(this).earlyFailures);
+  }
+
+  /**
+   * Records that a run of the task failed, and delays the next one if several in a row failed soon
+   * after their start.
+   *
+   * @param attempt number of the run
+   * @param ranMillis how long it was active, in milliseconds
+   * @param monotonicMillis monotonic time in milliseconds
+   */
+  public void recordFailedRun(int attempt, long ranMillis, long monotonicMillis) {
+    Task counting = step.countingTask(this);
+    if (ranMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
+      counting.earlyFailures = 0;
+    } else if (attempt > counting.lastEarlyFailure) {
+      // All members of a gang fail in the same attempt.
+      counting.lastEarlyFailure = attempt;
+      counting.earlyFailures++;
+    }
+    long pauseMillis = FailureBackoff.pauseMillis(counting.earlyFailures, step.spec().lasting());
+    if (pauseMillis > 0) {
+      counting.delayUntil(monotonicMillis + pauseMillis);
+    }
+  }
+
+  /**
+   * Records that a run of the task is active.
+   *
+   * @param activeMillis for how long, in milliseconds
+   */
+  public void recordActive(long activeMillis) {
+    if (activeMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
+      step.countingTask(this).earlyFailures = 0;
+    }
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -237,12 +237,17 @@
     }
     run.get().updateReport(active.percent(), active.load());
     run.get().task().updateCheckpoint(active.checkpoint());
+    run.get().task().recordActive(activeMillis(run.get(), nowMillis));
     if (run.get().state() == Run.State.STARTING) {
       run.get().changeState(Run.State.RUNNING, nowMillis);
       recordBegun(run.get().task());
     }
   }
 
+  private static long activeMillis(Run run, long nowMillis) {
+    return run.state() == Run.State.RUNNING ? nowMillis - run.stateSinceMillis() : 0;
+  }
+
   private static boolean isAdoptable(Task task) {
     boolean free = task.runs().isEmpty() || task.step().spec().speculative();
     return free && !task.isDone() && task.step().job().isActive();
@@ -313,6 +318,8 @@
               worker.recordBestEffortEnd(run, nowMillis);
               if (ended.kind() == EndKind.DONE) {
                 runTimes.recordDone(run, nowMillis);
+              } else if (ended.kind() == EndKind.FAILED && run.state() != Run.State.STOPPING) {
+                run.task().recordFailedRun(run.attempt(), activeMillis(run, nowMillis), nowMillis);
               }
               release(worker, run);
             });
--- a/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/PoolSimulation.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
@@ -20,6 +21,7 @@
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.StoredRecord;
+import org.lavenderstage.core.job.TaskId;
 import org.lavenderstage.core.job.WorkerRecord;
 
 /**
@@ -45,6 +47,10 @@
   double delayedOrderRate;
   double lostAnswerRate;
   double failingRunRate;
+
+  /** Whether the runs of a task fail, wherever they are started. */
+  Predicate<TaskId> failingTasks = task -> false;
+
   boolean storeDown;
 
   /** Failure domains that the operator wants evacuated, as the owner knows them. */
@@ -410,7 +416,10 @@
   }
 
   private void send(Order order, JobScheduler sender) {
-    boolean fails = random.nextDouble() < failingRunRate;
+    boolean randomlyFails = random.nextDouble() < failingRunRate;
+    boolean fails =
+        randomlyFails
+            || (order instanceof Order.Start start && failingTasks.test(start.run().task().id()));
     delayedStarts.recordSent(order, now);
     Optional<OrderOutcome> outcome = outcomes.apply(order);
     boolean delayed =
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
@@ -70,6 +70,15 @@
   /** Ratio of the work of a task to its estimate. */
   ToDoubleFunction<TaskId> workToEstimateRatio = task -> 1;
 
+  /** Time after which a failing run of a long-running task fails, in milliseconds. */
+  long longRunningFailureMillis = Long.MAX_VALUE / 4;
+
+  /** Whether all runs fail on this worker. */
+  boolean failsAllRuns;
+
+  /** Number of starts that the worker carried out. */
+  int startCount;
+
   /** Whether the stopped tasks of a step with checkpoints resume from their checkpoints. */
   boolean resumesFromCheckpoint;
 
@@ -200,7 +209,7 @@
     }
     highestToken = order.fencingToken();
     return switch (order) {
-      case Order.Start start -> start(start, now, fails);
+      case Order.Start start -> start(start, now, fails || failsAllRuns);
       case Order.Stop stop -> stop(stop.run().task().id(), stop.run().attempt(), now);
       case Order.StopUntracked stopUntracked ->
           stop(stopUntracked.task(), stopUntracked.attempt(), now);
@@ -237,13 +246,15 @@
     if (resumesFromCheckpoint && !run.startCheckpoint().isEmpty()) {
       workMillis = Long.parseLong(run.startCheckpoint());
     }
-    long durationMillis = spec.lasting() ? Long.MAX_VALUE / 4 : Math.round(workMillis);
+    long longRunningMillis = fails ? longRunningFailureMillis : Long.MAX_VALUE / 4;
+    long durationMillis = spec.lasting() ? longRunningMillis : Math.round(workMillis);
     long endsAtMillis = spec.gang() ? Long.MAX_VALUE / 4 : now + durationMillis;
     ActiveRun startedRun = new ActiveRun(run.attempt(), spec, endsAtMillis, fails, workMillis);
     if (spec.gang()) {
       startedRun.gang = Optional.of(gangs.join(run, fails, now));
     }
     running.put(task, startedRun);
+    startCount++;
     oracle.started(run, id, now);
     return new OrderResult.Accepted(clock(now));
   }
