--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -211,11 +211,14 @@
    * Records that a run of the task is active.
    *
    * @param activeMillis for how long, in milliseconds
+   * @return whether this is long enough that the task is not one that fails soon after its start
    */
-  public void recordActive(long activeMillis) {
-    if (activeMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
+  public boolean recordActive(long activeMillis) {
+    boolean sound = activeMillis >= FailureBackoff.MIN_SOUND_MILLIS;
+    if (sound) {
       step.countingTask(this).earlyFailures = 0;
     }
+    return sound;
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -39,6 +39,7 @@
 
   private final JobTable jobs;
   private final DecisionLog log;
+  private final FailureAttribution attribution = new FailureAttribution();
   final RunsAwaitingOrder awaitingOrder = new RunsAwaitingOrder();
   final RunTimes runTimes = new RunTimes();
   private boolean fenced;
@@ -237,7 +238,9 @@
     }
     run.get().updateReport(active.percent(), active.load());
     run.get().task().updateCheckpoint(active.checkpoint());
-    run.get().task().recordActive(activeMillis(run.get(), nowMillis));
+    if (run.get().task().recordActive(activeMillis(run.get(), nowMillis))) {
+      attribution.recordSuccess(run.get().task().step());
+    }
     if (run.get().state() == Run.State.STARTING) {
       run.get().changeState(Run.State.RUNNING, nowMillis);
       recordBegun(run.get().task());
@@ -323,11 +326,11 @@
               }
               release(worker, run);
             });
-    updateHistory(worker, ended.kind(), nowMillis);
     Optional<Task> task = jobs.findReportedTask(ended.task());
     if (task.isEmpty()) {
       return;
     }
+    updateHistory(worker, task.get(), ended.kind(), nowMillis);
     boolean superseded = ended.attempt() < task.get().lastAttempt() && !task.get().runs().isEmpty();
     task.get().recordAttempt(ended.attempt());
     recordBegun(task.get());
@@ -338,13 +341,13 @@
     applyEnd(task.get(), ended, nowMillis, wallMillis);
   }
 
-  private void updateHistory(Worker worker, EndKind kind, long nowMillis) {
+  private void updateHistory(Worker worker, Task task, EndKind kind, long nowMillis) {
     if (kind == EndKind.DONE) {
       worker.history().recordSuccess();
-    } else if (kind == EndKind.FAILED) {
-      long quarantineMillis = worker.history().recordFailure();
+      attribution.recordSuccess(task.step());
+    } else if (kind == EndKind.FAILED && attribution.recordFailure(worker, task)) {
+      long quarantineMillis = worker.history().recordFailure(task.step(), nowMillis);
       if (quarantineMillis > 0) {
-        worker.block(nowMillis + quarantineMillis);
         log.record(Decision.WORKER_QUARANTINED, "worker", worker.id(), "millis", quarantineMillis);
       }
     }
@@ -376,6 +379,7 @@
       return;
     }
     log.record(Decision.JOB_ENDED, "job", job.id(), "phase", job.phase());
+    attribution.removeJob(job);
     for (JobStep step : job.openSteps()) {
       stopAll(step, task -> true, "the job has ended", nowMillis);
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -283,7 +283,7 @@
   }
 
   boolean isBlocked(long monotonicMillis) {
-    return monotonicMillis < blockedUntilMillis;
+    return monotonicMillis < blockedUntilMillis || history.isQuarantined(monotonicMillis);
   }
 
   void block(long untilMillis) {
--- a/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
@@ -3,9 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
+import org.lavenderstage.core.job.JobPhase;
 import org.lavenderstage.core.job.TaskId;
 
 /** Tasks whose runs fail again and again leave capacity and starts to the others. */
@@ -15,6 +18,9 @@
   /** Longest time without a run that users accept of a long-running task beside free capacity. */
   private static final long MAX_GAP_MILLIS = 9_000;
 
+  /** Longest time without a run that users accept of a job beside free capacity. */
+  private static final long MAX_WAIT_MILLIS = 3_000;
+
   private static PoolSimulation simulate(int workerCount, int cpuMillis) {
     PoolSimulation simulation = new PoolSimulation(SEED, workerCount);
     simulation.usePlatformDelays();
@@ -81,4 +87,58 @@
     simulation.run(6_000);
     assertEquals(10, simulation.oracle.doneCount(), () -> String.join("\n", simulation.history));
   }
+
+  /** All workers were quarantined in turn for the failures of jobs that fail on each of them. */
+  @Test
+  void urgentJobsRunBesideLongRunningJobsThatFailOnAllWorkers() {
+    PoolSimulation simulation = simulate(12, 32_000);
+    List<String> failing = new ArrayList<>();
+    Predicate<TaskId> isFailing = task -> failing.contains(task.job());
+    simulation.failingTasks = isFailing;
+    for (int i = 0; i < 8; i++) {
+      failing.add(simulation.submit(List.of(StepBuilder.longRunning(6, 6_400)), 2).id());
+    }
+    // From the first failures on, and later, when pauses and quarantines are at their longest.
+    simulation.run(200);
+    submitUrgentJobs(simulation, 6);
+    simulation.run(12_000);
+    submitUrgentJobs(simulation, 6);
+  }
+
+  /** Submits urgent jobs one after another; each has to run and to end in time. */
+  private static void submitUrgentJobs(PoolSimulation simulation, int count) {
+    for (int i = 0; i < count; i++) {
+      Job job = simulation.submit(List.of(StepBuilder.step(6, 2_000, 500)), 0);
+      simulation.run(MAX_WAIT_MILLIS);
+      assertEquals(
+          JobPhase.COMPLETED, job.phase(), () -> job.id() + "\n" + lastLines(simulation.history));
+    }
+  }
+
+  private static String lastLines(List<String> history) {
+    return String.join("\n", history.subList(Math.max(0, history.size() - 200), history.size()));
+  }
+
+  /** The worker that is at fault is found though each job fails on it and nowhere else. */
+  @Test
+  void workerOnWhichTheRunsOfSoundJobsFailIsQuarantined() {
+    PoolSimulation simulation = simulate(12, 32_000);
+    SimulatedWorker faulty = simulation.workers.get(0);
+    faulty.failsAllRuns = true;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      jobs.add(simulation.submit(List.of(StepBuilder.step(60, 2_000, 500)), 1));
+      simulation.run(200);
+    }
+    simulation.run(20_000);
+    long completed = jobs.stream().filter(job -> job.phase() == JobPhase.COMPLETED).count();
+    assertEquals(jobs.size(), completed, () -> lastLines(simulation.history));
+    String quarantined = "WORKER_QUARANTINED [worker, ";
+    assertTrue(
+        simulation.history.stream().anyMatch(line -> line.contains(quarantined + faulty.id + ",")));
+    assertTrue(
+        simulation.history.stream()
+            .filter(line -> line.contains(quarantined))
+            .allMatch(line -> line.contains(quarantined + faulty.id + ",")));
+  }
 }
