--- a/core/src/main/java/org/lavenderstage/core/job/FailureBackoff.java
+++ b/core/src/main/java/org/lavenderstage/core/job/FailureBackoff.java
@@ -16,7 +16,7 @@
    * Longest pause of a long-running task in milliseconds. Users expect a start within 9 s of the
    * last run where there is capacity; half of that remains to find a worker.
    */
-  private static final long MAX_LONG_RUNNING_PAUSE_MILLIS = 4_000;
+  private static final long MAX_LASTING_PAUSE_MILLIS = 4_000;
 
   /**
    * Longest pause of another task in milliseconds. Users expect a job to have a run within 3 s
@@ -25,7 +25,7 @@
   private static final long MAX_PAUSE_MILLIS = 1_000;
 
   /** Duration of a run in milliseconds from which on its failure is not an early one. */
-  static final long MIN_SOUND_MILLIS = MAX_LONG_RUNNING_PAUSE_MILLIS;
+  static final long MIN_SOUND_MILLIS = MAX_LASTING_PAUSE_MILLIS;
 
   private FailureBackoff() {}
 
@@ -44,7 +44,7 @@
     if (!isPaced(earlyFailures)) {
       return 0;
     }
-    long maxMillis = longRunning ? MAX_LONG_RUNNING_PAUSE_MILLIS : MAX_PAUSE_MILLIS;
+    long maxMillis = longRunning ? MAX_LASTING_PAUSE_MILLIS : MAX_PAUSE_MILLIS;
     int doublings = earlyFailures - MAX_IMMEDIATE_RESTARTS - 1;
     long pauseMillis = INITIAL_PAUSE_MILLIS;
     for (int i = 0; i < doublings && pauseMillis < maxMillis; i++) {
