--- a/core/src/main/java/org/lavenderstage/core/job/Job.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Job.java
@@ -311,7 +311,7 @@
    * @param wallMillis wall-clock time in milliseconds since 1970
    * @return whether the run was not counted before, by this owner or a previous one
    */
-  public boolean recordTaskFailure(Task task, int attempt, long wallMillis) {
+  public boolean recordTaskFailure(Task task, long attempt, long wallMillis) {
     JobStep step = task.step();
     boolean isNew = step.recordFailure(task, attempt);
     if (!step.spec().lasting() && step.failuresOf(task) >= rules().maxAttempts()) {
@@ -345,9 +345,23 @@
     return new ProgressRecord(id(), phase, endedAtMillis, steps, done);
   }
 
+  /**
+   * Records that progress is stored, and with it the attempts that are reserved there.
+   *
+   * @param stored the record
+   */
+  public void recordProgressStored(ProgressRecord stored) {
+    for (StepProgress progress : stored.steps()) {
+      List<JobStep> steps = openOccurrences.get(progress.occurrence());
+      if (progress.step() >= 0 && steps != null) {
+        steps.get(progress.step()).attempts().recordStored(progress.reservedAttempts());
+      }
+    }
+  }
+
   private static StepProgress occurrenceDone(int occurrence) {
     return new StepProgress(
-        occurrence, -1, new byte[0], List.of(), List.of(), new byte[0], List.of());
+        occurrence, -1, new byte[0], List.of(), List.of(), new byte[0], List.of(), 0);
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/job/JobStep.java
+++ b/core/src/main/java/org/lavenderstage/core/job/JobStep.java
@@ -12,6 +12,7 @@
   private final int number;
   private final StepSpec spec;
   private final List<Task> tasks;
+  private final AttemptReservation attempts = new AttemptReservation();
   private int doneCount;
 
   JobStep(Job job, int occurrence, int number, StepSpec spec) {
@@ -89,6 +90,15 @@
     return tasks.size() - doneCount;
   }
 
+  /**
+   * Returns which attempts of the tasks are reserved.
+   *
+   * @return the reservation, modifiable
+   */
+  public AttemptReservation attempts() {
+    return attempts;
+  }
+
   /** Marks a task as done, or in a gang all tasks. */
   void recordDone(Task task) {
     if (spec.gang()) {
@@ -109,7 +119,7 @@
    *
    * @return whether the run was not counted before
    */
-  boolean recordFailure(Task task, int attempt) {
+  boolean recordFailure(Task task, long attempt) {
     return countingTask(task).markFailed(attempt);
   }
 
@@ -125,6 +135,7 @@
 
   boolean hasProgress() {
     return doneCount > 0
+        || attempts.upTo() > 0
         || tasks.stream()
             .anyMatch(t -> t.failures() > 0 || !t.checkpoint().isEmpty() || t.hasBegun());
   }
@@ -145,7 +156,7 @@
         anyCheckpoints
             ? tasks.stream().map(t -> t.isDone() ? "" : t.checkpoint()).toList()
             : List.of();
-    List<List<Integer>> failedAttempts =
+    List<List<Long>> failedAttempts =
         anyFailures ? tasks.stream().map(Task::failedAttempts).toList() : List.of();
     return new StepProgress(
         occurrence,
@@ -154,14 +165,16 @@
         failures,
         checkpoints,
         begun.toByteArray(),
-        failedAttempts);
+        failedAttempts,
+        attempts.upTo());
   }
 
   void restore(StepProgress progress) {
     BitSet done = BitSet.valueOf(progress.done());
     BitSet begun = progress.begun() == null ? new BitSet() : BitSet.valueOf(progress.begun());
-    List<List<Integer>> failedAttempts =
+    List<List<Long>> failedAttempts =
         progress.failedAttempts() == null ? List.of() : progress.failedAttempts();
+    attempts.restore(progress.reservedAttempts());
     doneCount = 0;
     for (Task task : tasks) {
       int i = task.id().index();
--- a/core/src/main/java/org/lavenderstage/core/job/Run.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Run.java
@@ -20,7 +20,7 @@
   public static final double ASSUMED_UTILIZATION = 0.5;
 
   private final Task task;
-  private final int attempt;
+  private final long attempt;
   private final String worker;
   private final String startCheckpoint;
   private State state;
@@ -48,7 +48,7 @@
    * @param state initial state: starting, or running if the worker reported the run
    * @param monotonicMillis monotonic time in milliseconds
    */
-  public Run(Task task, int attempt, String worker, State state, long monotonicMillis) {
+  public Run(Task task, long attempt, String worker, State state, long monotonicMillis) {
     this.task = task;
     this.attempt = attempt;
     this.worker = worker;
@@ -71,7 +71,7 @@
    *
    * @return the attempt
    */
-  public int attempt() {
+  public long attempt() {
     return attempt;
   }
 
--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -15,13 +15,13 @@
   private final List<Run> runs = new ArrayList<>(1);
   private boolean done;
   private int failures;
-  private int lastAttempt;
-  private int unusedAttempt;
-  private final Set<Integer> failedAttempts = new TreeSet<>();
+  private long lastAttempt;
+  private long unusedAttempt;
+  private final Set<Long> failedAttempts = new TreeSet<>();
   private String checkpoint = "";
   private long notBeforeMillis;
   private int earlyFailures;
-  private int lastEarlyFailure;
+  private long lastEarlyFailure;
   private boolean inherited;
   private boolean begun;
   private long interruptedSinceMillis = NOT_INTERRUPTED;
@@ -102,7 +102,7 @@
    *
    * @return the number of the attempt, 0 for none
    */
-  public int lastAttempt() {
+  public long lastAttempt() {
     return lastAttempt;
   }
 
@@ -111,7 +111,7 @@
    *
    * @param attempt number of the attempt
    */
-  public void recordAttempt(int attempt) {
+  public void recordAttempt(long attempt) {
     lastAttempt = Math.max(lastAttempt, attempt);
     unusedAttempt = attempt < unusedAttempt ? unusedAttempt : 0;
   }
@@ -121,7 +121,7 @@
    *
    * @param attempt number of the attempt
    */
-  public void recordAttemptUnused(int attempt) {
+  public void recordAttemptUnused(long attempt) {
     unusedAttempt = attempt == lastAttempt ? attempt : 0;
   }
 
@@ -130,7 +130,7 @@
    *
    * @return the number of the attempt, 0 if the latest run may have begun
    */
-  public int unusedAttempt() {
+  public long unusedAttempt() {
     return unusedAttempt;
   }
 
@@ -192,7 +192,7 @@
    * @param ranMillis how long it was active, in milliseconds
    * @param monotonicMillis monotonic time in milliseconds
    */
-  public void recordFailedRun(int attempt, long ranMillis, long monotonicMillis) {
+  public void recordFailedRun(long attempt, long ranMillis, long monotonicMillis) {
     Task counting = step.countingTask(this);
     if (ranMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
       counting.earlyFailures = 0;
@@ -277,14 +277,14 @@
    *
    * @return whether the run was not counted before
    */
-  boolean markFailed(int attempt) {
+  boolean markFailed(long attempt) {
     boolean isNew = step.spec().lasting() || failedAttempts.add(attempt);
     failures += isNew ? 1 : 0;
     return isNew;
   }
 
   /** Returns the attempts of the failed runs that are counted; none of a long-running task. */
-  List<Integer> failedAttempts() {
+  List<Long> failedAttempts() {
     return List.copyOf(failedAttempts);
   }
 
@@ -300,7 +300,7 @@
    * @param failureCount number of failed runs
    * @param attempts their attempts, as far as they are stored
    */
-  void restoreFailures(int failureCount, Collection<Integer> attempts) {
+  void restoreFailures(int failureCount, Collection<Long> attempts) {
     failures = failureCount;
     failedAttempts.addAll(attempts);
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/GangPlacement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/GangPlacement.java
@@ -48,7 +48,7 @@
   private final Map<JobStep, IncompleteGang> incomplete = new HashMap<>();
 
   /** An attempt of a gang of which a member has or had no run, and since when. */
-  private record IncompleteGang(int attempt, long sinceMillis) {}
+  private record IncompleteGang(long attempt, long sinceMillis) {}
 
   GangPlacement(WorkerTable workers, RunTracker runs, RunStarter starter, JobWaitLog waitLog) {
     this.workers = workers;
@@ -85,7 +85,7 @@
 
   private boolean startOrReserve(
       JobStep step, List<Task> members, WorkerSelector selector, long nowMillis) {
-    int attempt = members.stream().mapToInt(starter::nextAttempt).max().orElseThrow();
+    long attempt = members.stream().mapToLong(starter::nextAttempt).max().orElseThrow();
     alignCheckpoints(members);
     if (startAll(members, attempt, selector, nowMillis)) {
       return true;
@@ -105,7 +105,7 @@
     if (present.isEmpty()) {
       return false;
     }
-    int attempt = present.stream().mapToInt(Run::attempt).max().orElseThrow();
+    long attempt = present.stream().mapToLong(Run::attempt).max().orElseThrow();
     IncompleteGang gang = incomplete.get(step);
     if (gang == null || gang.attempt() != attempt) {
       gang = new IncompleteGang(attempt, nowMillis);
@@ -126,7 +126,8 @@
    * Returns whether all other members wait for the given ones, whose starts of the same attempt
    * were rejected. Starts on other workers may then use that attempt.
    */
-  private static boolean mayJoin(JobStep step, List<Task> waiting, List<Run> present, int attempt) {
+  private static boolean mayJoin(
+      JobStep step, List<Task> waiting, List<Run> present, long attempt) {
     return present.size() + waiting.size() == step.tasks().size()
         && waiting.stream().allMatch(member -> member.unusedAttempt() == attempt)
         && present.stream().allMatch(run -> run.attempt() == attempt && isStartingOrRunning(run))
@@ -140,7 +141,7 @@
 
   /** Starts the given members if all of them fit. */
   private boolean startAll(
-      List<Task> members, int attempt, WorkerSelector selector, long nowMillis) {
+      List<Task> members, long attempt, WorkerSelector selector, long nowMillis) {
     if (!mayFit(members, selector)) {
       return false;
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobScheduler.java
@@ -390,6 +390,7 @@
   public void batchStored(JournalBatch batch, long nowMillis) {
     pacer.recordChange();
     batch.phases().forEach(Job::markStored);
+    jobs.handleStored(batch.changes());
     batch.storedEnds().forEach(ends -> workers.records().handleStoredEnds(ends, nowMillis));
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
@@ -134,6 +134,15 @@
     }
   }
 
+  /** Handles that changes are stored. */
+  void handleStored(List<StoredChange> changes) {
+    for (StoredChange change : changes) {
+      if (change.record().orElse(null) instanceof ProgressRecord progress) {
+        find(progress.job()).ifPresent(job -> job.recordProgressStored(progress));
+      }
+    }
+  }
+
   /** Removes the jobs that ended before a time, together with their stored records. */
   void removeEndedBefore(long wallMillis) {
     jobs.values()
--- a/core/src/main/java/org/lavenderstage/core/pool/Order.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Order.java
@@ -57,9 +57,9 @@
    * @param attempt attempt number of the run
    * @param fencingToken fencing token
    */
-  record StopUntracked(Worker worker, TaskId task, int attempt, long fencingToken)
+  record StopUntracked(Worker worker, TaskId task, long attempt, long fencingToken)
       implements Order {
-    StopUntracked(Worker worker, TaskId task, int attempt) {
+    StopUntracked(Worker worker, TaskId task, long attempt) {
       this(worker, task, attempt, worker.fence().token());
     }
   }
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -107,7 +107,7 @@
     this.moves = new EvacuationMoves(workers, runs, log);
     this.deferralLog = new DeferralLog(log);
     this.waitLog = new JobWaitLog(log);
-    this.starter = new RunStarter(runs, term, log);
+    this.starter = new RunStarter(jobs, runs, term, log);
     this.gangs = new GangPlacement(workers, runs, starter, waitLog);
   }
 
@@ -134,7 +134,7 @@
             workers.all(), interference, Set.copyOf(withheldUntil.keySet()), nowMillis);
     moves.finish(
         selector,
-        task -> !mayRunUnreported(task),
+        task -> !mayRunUnreported(task) && starter.mayStart(task),
         (task, worker) -> starter.start(task, worker, starter.nextAttempt(task), nowMillis),
         nowMillis);
     Map<SearchKey, Long> longestPlaceableMillis = new HashMap<>();
@@ -165,7 +165,7 @@
     List<Task> waiting = new ArrayList<>();
     List<Task> interrupted = new ArrayList<>();
     for (Task task : step.tasks()) {
-      if (!task.isWaiting(nowMillis)) {
+      if (!isStartable(task, nowMillis)) {
         continue;
       }
       if (mayRunUnreported(task)) {
@@ -198,6 +198,10 @@
     placeTasksInOrder(waiting, selector, longestPlaceableMillis, nowMillis);
   }
 
+  private boolean isStartable(Task task, long nowMillis) {
+    return task.isWaiting(nowMillis) && starter.mayStart(task);
+  }
+
   /** Returns whether a task may have a run that is not reported yet. */
   private boolean mayRunUnreported(Task task) {
     boolean mayRunInherited =
@@ -217,7 +221,7 @@
       long nowMillis) {
     boolean placeable = true;
     for (Task task : tasks) {
-      if (!task.isWaiting(nowMillis)) {
+      if (!isStartable(task, nowMillis)) {
         continue;
       }
       if (placeable && !placeTask(task, selector, longestPlaceableMillis, nowMillis)) {
--- a/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/UnansweredOrders.java
@@ -29,7 +29,7 @@
    * @param heldBack whether the worker has answered an order that was sent later; then it has
    *     probably received the start
    */
-  record Start(int attempt, long sentAtMillis, long unansweredSinceMillis, boolean heldBack) {
+  record Start(long attempt, long sentAtMillis, long unansweredSinceMillis, boolean heldBack) {
     private boolean mayCome(long monotonicMillis) {
       return monotonicMillis - unansweredSinceMillis <= WorkerLeases.MAX_ORDER_DELAY_MILLIS;
     }
@@ -73,13 +73,13 @@
    *
    * @param heldBack whether the previous owner knew that, instead of that the task was started
    */
-  void recordInherited(TaskId task, int attempt, boolean heldBack, long monotonicMillis) {
+  void recordInherited(TaskId task, long attempt, boolean heldBack, long monotonicMillis) {
     Start start = new Start(attempt, SENT_BY_PREVIOUS_OWNER, monotonicMillis, heldBack);
     starts.merge(task, start, (old, latest) -> old.heldBack ? latest.asHeldBack() : latest);
   }
 
   /** Records that the only copy of a start was carried out. */
-  void recordCarriedOut(TaskId task, int attempt) {
+  void recordCarriedOut(TaskId task, long attempt) {
     starts.computeIfPresent(task, (id, start) -> start.attempt == attempt ? null : start);
   }
 
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -341,7 +341,7 @@
     return reported && isIdle() && !unansweredOrders.isAnyPending(monotonicMillis);
   }
 
-  Optional<Run> run(TaskId task, int attempt) {
+  Optional<Run> run(TaskId task, long attempt) {
     return runs.getOrDefault(task, List.of()).stream()
         .filter(run -> run.attempt() == attempt)
         .findFirst();
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerReport.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerReport.java
@@ -41,7 +41,7 @@
    * @param attempt attempt number of the run
    * @return whether the run is reported as running or as ended
    */
-  public boolean contains(TaskId task, int attempt) {
+  public boolean contains(TaskId task, long attempt) {
     return running.stream().anyMatch(r -> r.task().equals(task) && r.attempt() == attempt)
         || ended.stream().anyMatch(e -> e.task().equals(task) && e.attempt() == attempt);
   }
@@ -56,7 +56,7 @@
    * @param load CPU usage in thousandths of a core, or the tail latency of a serving task in
    *     milliseconds
    */
-  public record RunningTask(TaskId task, int attempt, String checkpoint, int percent, int load) {}
+  public record RunningTask(TaskId task, long attempt, String checkpoint, int percent, int load) {}
 
   /**
    * A run that has ended.
@@ -67,5 +67,6 @@
    * @param kind how the run ended
    * @param checkpoint newest checkpoint, empty if there is none
    */
-  public record EndedTask(long number, TaskId task, int attempt, EndKind kind, String checkpoint) {}
+  public record EndedTask(
+      long number, TaskId task, long attempt, EndKind kind, String checkpoint) {}
 }
--- a/core/src/test/java/org/lavenderstage/core/pool/CountedFailureTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/CountedFailureTest.java
@@ -110,7 +110,7 @@
   void failuresInARecordOfTheVersionBeforeCount() {
     Job before = newJob(StepBuilder.step(2, 1_000, 5_000));
     StepProgress step =
-        new StepProgress(0, 0, new byte[0], List.of(0, 1), List.of(), new byte[0], null);
+        new StepProgress(0, 0, new byte[0], List.of(0, 1), List.of(), new byte[0], null, 0);
     ProgressRecord progress = new ProgressRecord(JOB, JobPhase.ACTIVE, 0, List.of(step), List.of());
 
     JobScheduler owner = load(2, before.record(), progress);
@@ -149,7 +149,7 @@
     return new TaskId(JOB, 0, 0, index);
   }
 
-  private static WorkerReport.EndedTask failed(int index, int attempt) {
+  private static WorkerReport.EndedTask failed(int index, long attempt) {
     return new WorkerReport.EndedTask(attempt, taskId(index), attempt, EndKind.FAILED, "");
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/GangPlacementTest.java
@@ -93,7 +93,7 @@
     pool.run(200);
     StepSpec gang =
         StepBuilder.of(3, 4_000, 60_000).gang().maxPerWorker(1).checkpointing(true).build();
-    Map<Integer, Set<String>> checkpoints = new HashMap<>();
+    Map<Long, Set<String>> checkpoints = new HashMap<>();
     pool.outcomes =
         order -> {
           if (order instanceof Order.Start start) {
@@ -114,7 +114,7 @@
     assertTrue(
         checkpoints.values().stream().allMatch(values -> values.size() == 1),
         checkpoints::toString);
-    assertFalse(checkpoints.get(2).contains(""), checkpoints::toString);
+    assertFalse(checkpoints.get(2L).contains(""), checkpoints::toString);
   }
 
   private static PoolSimulation newPool(int workers) {
--- a/core/src/test/java/org/lavenderstage/core/pool/InheritedFailuresTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/InheritedFailuresTest.java
@@ -69,7 +69,7 @@
     step();
   }
 
-  private static WorkerReport.EndedTask failed(long number, int attempt) {
+  private static WorkerReport.EndedTask failed(long number, long attempt) {
     return new WorkerReport.EndedTask(number, TASK, attempt, EndKind.FAILED, "");
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SimulatedWorker.java
@@ -28,7 +28,7 @@
   boolean draining;
   private final TaskOracle oracle;
   private final Map<TaskId, ActiveRun> running = new HashMap<>();
-  private final Map<TaskId, Integer> highestEnded = new HashMap<>();
+  private final Map<TaskId, Long> highestEnded = new HashMap<>();
   private final List<WorkerReport.EndedTask> ended = new ArrayList<>();
   private long highestToken;
   private long lastEndedNumber;
@@ -87,7 +87,7 @@
 
   /** A run on this worker; it ends at a given time, or if best-effort when its work is done. */
   private static final class ActiveRun {
-    final int attempt;
+    final long attempt;
     final StepSpec spec;
     final long endsAtMillis;
     final boolean fails;
@@ -95,7 +95,8 @@
     long stopsAtMillis = Long.MAX_VALUE;
     Optional<SimulatedGangs.Gang> gang = Optional.empty();
 
-    ActiveRun(int attempt, StepSpec spec, long endsAtMillis, boolean fails, double workLeftMillis) {
+    ActiveRun(
+        long attempt, StepSpec spec, long endsAtMillis, boolean fails, double workLeftMillis) {
       this.attempt = attempt;
       this.spec = spec;
       this.endsAtMillis = endsAtMillis;
@@ -233,7 +234,7 @@
     if (running.containsKey(task) && running.get(task).attempt == run.attempt()) {
       return new OrderResult.Accepted(clock(now));
     }
-    if (running.containsKey(task) || run.attempt() <= highestEnded.getOrDefault(task, 0)) {
+    if (running.containsKey(task) || run.attempt() <= highestEnded.getOrDefault(task, 0L)) {
       return new OrderResult.Rejected(Rejection.OUTDATED);
     }
     StepSpec spec = run.task().step().spec();
@@ -259,7 +260,7 @@
     return new OrderResult.Accepted(clock(now));
   }
 
-  private OrderResult stop(TaskId task, int attempt, long now) {
+  private OrderResult stop(TaskId task, long attempt, long now) {
     ActiveRun run = running.get(task);
     if (run != null && run.attempt <= attempt) {
       run.stopsAtMillis = Math.min(run.stopsAtMillis, now + stopMillis);
--- a/core/src/test/java/org/lavenderstage/core/pool/SpeedLimitOrderTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/SpeedLimitOrderTest.java
@@ -26,7 +26,7 @@
   private static final int RAISED_LATENCY_MILLIS = 40;
   private static final int BEST_EFFORT_CPU = 3_500;
 
-  private final Map<TaskId, Integer> running = new HashMap<>();
+  private final Map<TaskId, Long> running = new HashMap<>();
   private final List<Order> sent = new ArrayList<>();
   private JobScheduler scheduler = scheduler(1);
   private long now = 1_000_000;
--- a/entry/src/main/java/org/lavenderstage/entry/job/WarmupWorker.java
+++ b/entry/src/main/java/org/lavenderstage/entry/job/WarmupWorker.java
@@ -22,7 +22,7 @@
   private long lastEndedNumber;
 
   /** A run, which ends by itself at a time. */
-  private record ActiveRun(TaskId task, int attempt, StepSpec spec, long endsAtMillis) {}
+  private record ActiveRun(TaskId task, long attempt, StepSpec spec, long endsAtMillis) {}
 
   WarmupWorker(String id) {
     this.id = id;
@@ -56,7 +56,7 @@
     return new ActiveRun(run.task().id(), run.attempt(), spec, endsAt);
   }
 
-  private void end(TaskId task, int attempt, EndKind kind, long latestEndMillis) {
+  private void end(TaskId task, long attempt, EndKind kind, long latestEndMillis) {
     Iterator<ActiveRun> runs = active.iterator();
     while (runs.hasNext()) {
       ActiveRun run = runs.next();
