--- a/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/JobTable.java
@@ -14,6 +14,7 @@
 import org.lavenderstage.core.job.JobRecord;
 import org.lavenderstage.core.job.JobStep;
 import org.lavenderstage.core.job.ProgressRecord;
+import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.StoredChange;
 import org.lavenderstage.core.job.Task;
 import org.lavenderstage.core.job.TaskId;
@@ -41,6 +42,14 @@
     return find(id.job()).flatMap(job -> job.findReportedTask(id));
   }
 
+  /** Finds the step of a task as it was submitted, also if its job has ended. */
+  Optional<StepSpec> findSpec(TaskId id) {
+    return find(id.job())
+        .map(job -> job.record().steps())
+        .filter(steps -> id.step() >= 0 && id.step() < steps.size())
+        .map(steps -> steps.get(id.step()));
+  }
+
   /** Returns all known jobs, including those that ended recently. */
   Collection<Job> all() {
     return jobs.values();
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -195,6 +195,7 @@
         handleEndedTask(worker, ended, nowMillis, wallMillis);
       }
     }
+    worker.untrackedRuns().clear();
     for (WorkerReport.RunningTask active : report.running()) {
       handleRunningTask(worker, active, seen, adopted, nowMillis, orders);
     }
@@ -228,6 +229,8 @@
           active.attempt(),
           "worker",
           worker.id());
+      jobs.findSpec(active.task())
+          .ifPresent(spec -> worker.untrackedRuns().add(active.task(), Worker.demand(spec)));
       orders.add(new Order.StopUntracked(worker, active.task(), active.attempt()));
       return;
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -21,6 +21,7 @@
   private Optional<WorkerListing> listing = Optional.empty();
   private final WorkerFence fence;
   private final Map<TaskId, List<Run>> runs = new HashMap<>();
+  private final UntrackedRuns untrackedRuns = new UntrackedRuns();
   private final UnansweredOrders unansweredOrders = new UnansweredOrders();
   private Resources allocated = Resources.NONE;
   private int bestEffortCpuMillis;
@@ -390,6 +391,11 @@
     countRun(spec, -1);
   }
 
+  /** Returns the runs that are being stopped here without being tracked. */
+  UntrackedRuns untrackedRuns() {
+    return untrackedRuns;
+  }
+
   UnansweredOrders unansweredOrders() {
     return unansweredOrders;
   }
@@ -425,7 +431,7 @@
 
   Resources free() {
     Resources capacity = listing.map(WorkerListing::capacity).orElse(Resources.NONE);
-    return capacity.minus(allocated).minus(evacuation.held());
+    return capacity.minus(allocated).minus(untrackedRuns.allocated()).minus(evacuation.held());
   }
 
   /** Returns the millicores not allocated or requested by best-effort tasks; may be negative. */
@@ -439,7 +445,7 @@
   }
 
   int countOf(JobStep step) {
-    int count = 0;
+    int count = untrackedRuns.countOf(step);
     for (List<Run> runsOfTask : runs.values()) {
       count += runsOfTask.get(0).task().step() == step ? runsOfTask.size() : 0;
     }
