--- a/core/src/main/java/org/lavenderstage/core/job/FailureBackoff.java
+++ b/core/src/main/java/org/lavenderstage/core/job/FailureBackoff.java
@@ -34,6 +34,11 @@
     return earlyFailures > MAX_IMMEDIATE_RESTARTS;
   }
 
+  /** Returns the longest pause of a task, in milliseconds. */
+  static long maxPauseMillis(boolean longRunning) {
+    return longRunning ? MAX_LASTING_PAUSE_MILLIS : MAX_PAUSE_MILLIS;
+  }
+
   /**
    * Returns the pause before a task is started again.
    *
@@ -44,7 +49,7 @@
     if (!isPaced(earlyFailures)) {
       return 0;
     }
-    long maxMillis = longRunning ? MAX_LASTING_PAUSE_MILLIS : MAX_PAUSE_MILLIS;
+    long maxMillis = maxPauseMillis(longRunning);
     int doublings = earlyFailures - MAX_IMMEDIATE_RESTARTS - 1;
     long pauseMillis = INITIAL_PAUSE_MILLIS;
     for (int i = 0; i < doublings && pauseMillis < maxMillis; i++) {
--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -22,6 +22,7 @@
   private long notBeforeMillis;
   private int earlyFailures;
   private long lastEarlyFailure;
+  private long avoidsSuspectsUntilMillis = Long.MIN_VALUE;
   private boolean inherited;
   private boolean begun;
   private long interruptedSinceMillis = NOT_INTERRUPTED;
@@ -185,26 +186,42 @@
   }
 
   /**
-   * Records that a run of the task failed, and delays the next one if several in a row failed soon
-   * after their start.
+   * Records that a run of the task failed. If several in a row failed soon after their start, the
+   * next one is delayed. A failure on a suspect worker tells little of the task; it avoids such
+   * workers for a while.
    *
    * @param attempt number of the run
    * @param ranMillis how long it was active, in milliseconds
+   * @param suspectWorker whether the latest runs of another step failed on the worker too
    * @param monotonicMillis monotonic time in milliseconds
    */
-  public void recordFailedRun(long attempt, long ranMillis, long monotonicMillis) {
+  public void recordFailedRun(
+      long attempt, long ranMillis, boolean suspectWorker, long monotonicMillis) {
     Task counting = step.countingTask(this);
     if (ranMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
       counting.earlyFailures = 0;
+    } else if (suspectWorker) {
+      counting.avoidsSuspectsUntilMillis =
+          monotonicMillis + FailureBackoff.maxPauseMillis(step.spec().lasting());
     } else if (attempt > counting.lastEarlyFailure) {
       // All members of a gang fail in the same attempt.
       counting.lastEarlyFailure = attempt;
       counting.earlyFailures++;
+      counting.delayUntil(
+          monotonicMillis
+              + FailureBackoff.pauseMillis(counting.earlyFailures, step.spec().lasting()));
     }
-    long pauseMillis = FailureBackoff.pauseMillis(counting.earlyFailures, step.spec().lasting());
-    if (pauseMillis > 0) {
-      counting.delayUntil(monotonicMillis + pauseMillis);
-    }
+  }
+
+  /**
+   * Returns whether the task is not to be started on suspect workers, as its latest run failed on
+   * one.
+   *
+   * @param monotonicMillis monotonic time in milliseconds
+   * @return whether the task avoids them
+   */
+  public boolean avoidsSuspects(long monotonicMillis) {
+    return monotonicMillis < step.countingTask(this).avoidsSuspectsUntilMillis;
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/Placement.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Placement.java
@@ -54,8 +54,9 @@
       boolean longRunning,
       boolean begun,
       boolean overdue,
+      boolean avoidsSuspects,
       String image) {
-    static SearchKey of(Task task, boolean overdue) {
+    static SearchKey of(Task task, boolean overdue, long nowMillis) {
       StepSpec spec = task.step().spec();
       return new SearchKey(
           Requirements.of(task),
@@ -64,6 +65,7 @@
           spec.lasting(),
           task.hasBegun(),
           overdue,
+          task.avoidsSuspects(nowMillis),
           spec.image());
     }
   }
@@ -277,7 +279,7 @@
     boolean overdue =
         task.isInterrupted(nowMillis)
             && nowMillis - task.recordInterrupted(nowMillis) >= RESERVATION_WAIT_MILLIS;
-    SearchKey key = SearchKey.of(task, overdue);
+    SearchKey key = SearchKey.of(task, overdue, nowMillis);
     if (spec.estimateMillis() > longestPlaceableMillis.getOrDefault(key, Long.MAX_VALUE)) {
       waitLog.recordDeferred(task, rank, () -> selector.countFits(task), nowMillis);
       return placeAtReducedSpeed(task, key, selector, nowMillis);
--- a/core/src/main/java/org/lavenderstage/core/pool/RunHistory.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunHistory.java
@@ -70,6 +70,11 @@
     rejectsStarts = rejected;
   }
 
+  /** Returns whether the latest failures include one of another step. */
+  boolean hasFailureOfOther(JobStep step) {
+    return failedSteps.stream().anyMatch(failed -> failed != step);
+  }
+
   /** Returns whether the latest run failed or the latest start was not carried out. */
   boolean isSuspect() {
     return !failedSteps.isEmpty() || rejectsStarts;
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -325,7 +325,12 @@
               if (ended.kind() == EndKind.DONE) {
                 runTimes.recordDone(run, nowMillis);
               } else if (ended.kind() == EndKind.FAILED && run.state() != Run.State.STOPPING) {
-                run.task().recordFailedRun(run.attempt(), activeMillis(run, nowMillis), nowMillis);
+                run.task()
+                    .recordFailedRun(
+                        run.attempt(),
+                        activeMillis(run, nowMillis),
+                        worker.history().hasFailureOfOther(run.task().step()),
+                        nowMillis);
               }
               release(worker, run);
             });
--- a/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/WorkerSelector.java
@@ -243,7 +243,8 @@
   boolean isAllowed(Worker worker, Task task) {
     JobStep step = task.step();
     StepSpec spec = step.spec();
-    if (!worker.takesRuns(nowMillis)) {
+    boolean avoided = task.avoidsSuspects(nowMillis) && worker.history().hasFailureOfOther(step);
+    if (!worker.takesRuns(nowMillis) || avoided) {
       return false;
     }
     WorkerListing listing = worker.listing().orElseThrow();
--- a/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
@@ -119,6 +119,39 @@
     return String.join("\n", history.subList(Math.max(0, history.size() - 200), history.size()));
   }
 
+  /**
+   * Faulty workers are free while the others are full. A task that runs into them keeps its rank,
+   * and gets the first capacity of a sound worker.
+   */
+  @Test
+  void interruptedTaskThatFailsOnFaultyWorkersGetsTheNextCapacityOfASoundOne() {
+    PoolSimulation simulation = simulate(6, 1_000);
+    simulation.run(1_000);
+    Job job = simulation.submit(List.of(StepBuilder.longRunning(1, 1_000)), 2);
+    TaskId task = new TaskId(job.id(), 0, 0, 0);
+    runUntilActive(simulation, job);
+    SimulatedWorker lost =
+        simulation.workers.stream().filter(worker -> worker.runs(task)).findFirst().orElseThrow();
+    List<SimulatedWorker> others = new ArrayList<>(simulation.workers);
+    others.remove(lost);
+    Job occupying = simulation.submit(List.of(StepBuilder.step(5, 1_000, 15_000)), 0);
+    simulation.run(1_000);
+    // The sound worker runs its task for 15 s; the tasks of the faulty ones fail at once.
+    for (SimulatedWorker faulty : others.subList(1, others.size())) {
+      faulty.failsAllRuns = true;
+      faulty.crash(simulation.now);
+      faulty.restart(simulation.now);
+    }
+    lost.crash(simulation.now);
+    for (int i = 0; i < 60; i++) {
+      simulation.submit(List.of(StepBuilder.step(1, 1_000, 1_000)), 0);
+      simulation.run(250);
+    }
+    assertTrue(others.get(0).runs(task), () -> occupying.id() + lastLines(simulation.history));
+    simulation.run(2_000);
+    assertTrue(others.get(0).runs(task));
+  }
+
   /** The worker that is at fault is found though each job fails on it and nowhere else. */
   @Test
   void workerOnWhichTheRunsOfSoundJobsFailIsQuarantined() {
