--- a/core/src/main/java/org/lavenderstage/core/job/Task.java
+++ b/core/src/main/java/org/lavenderstage/core/job/Task.java
@@ -194,23 +194,29 @@
    * @param ranMillis how long it was active, in milliseconds
    * @param suspectWorker whether the latest runs of another step failed on the worker too
    * @param monotonicMillis monotonic time in milliseconds
+   * @return the pause before the next run in milliseconds, 0 for none
    */
-  public void recordFailedRun(
+  public long recordFailedRun(
       long attempt, long ranMillis, boolean suspectWorker, long monotonicMillis) {
     Task counting = step.countingTask(this);
     if (ranMillis >= FailureBackoff.MIN_SOUND_MILLIS) {
       counting.earlyFailures = 0;
-    } else if (suspectWorker) {
+      return 0;
+    }
+    if (suspectWorker) {
       counting.avoidsSuspectsUntilMillis =
           monotonicMillis + FailureBackoff.maxPauseMillis(step.spec().lasting());
-    } else if (attempt > counting.lastEarlyFailure) {
-      // All members of a gang fail in the same attempt.
-      counting.lastEarlyFailure = attempt;
-      counting.earlyFailures++;
-      counting.delayUntil(
-          monotonicMillis
-              + FailureBackoff.pauseMillis(counting.earlyFailures, step.spec().lasting()));
+      return 0;
+    }
+    if (attempt <= counting.lastEarlyFailure) {
+      // Another member of the gang has failed in the same attempt.
+      return 0;
     }
+    counting.lastEarlyFailure = attempt;
+    counting.earlyFailures++;
+    long pauseMillis = FailureBackoff.pauseMillis(counting.earlyFailures, step.spec().lasting());
+    counting.delayUntil(monotonicMillis + pauseMillis);
+    return pauseMillis;
   }
 
   /**
--- a/core/src/main/java/org/lavenderstage/core/pool/Decision.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Decision.java
@@ -32,6 +32,10 @@
   RUN_PACED,
   /** A long-running task that has run before waits for a worker. */
   TASK_DEFERRED,
+  /** The next run of a task is delayed, since several in a row failed soon after their start. */
+  TASK_DELAYED,
+  /** A step has failed on several workers, and its failures are not held against workers. */
+  STEP_FAULTY,
   /** A job has waiting tasks, and none was placed for a while. */
   JOB_WAITS,
   /** A worker was added to the list of workers or changed its listing. */
--- a/core/src/main/java/org/lavenderstage/core/pool/FailureAttribution.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/FailureAttribution.java
@@ -18,12 +18,16 @@
   /** Number of workers on which a faulty step has failed; faulty workers are few, and avoided. */
   private static final int MIN_WORKERS = 3;
 
-  /** The workers on which each step has failed since its last success. */
-  private final Map<JobStep, Set<Worker>> failedOn = new HashMap<>();
+  private final Map<JobStep, Failures> failuresByStep = new HashMap<>();
+  private final DecisionLog log;
+
+  FailureAttribution(DecisionLog log) {
+    this.log = log;
+  }
 
   /** Records that a run of a step succeeded, or lasted so long that the step works. */
   void recordSuccess(JobStep step) {
-    failedOn.remove(step);
+    failuresByStep.remove(step);
   }
 
   /**
@@ -34,13 +38,23 @@
    */
   boolean recordFailure(Worker worker, Task task) {
     JobStep step = task.step();
-    Set<Worker> workers = failedOn.computeIfAbsent(step, key -> new HashSet<>());
-    workers.add(worker);
-    if (isFaulty(step, workers)) {
-      workers.forEach(failed -> failed.history().forgive(step));
-      return false;
+    Failures failures = failuresByStep.computeIfAbsent(step, key -> new Failures());
+    failures.workers.add(worker);
+    if (!failures.stepFaulty && isFaulty(step, failures.workers)) {
+      failures.stepFaulty = true;
+      failures.workers.forEach(failed -> failed.history().forgive(step));
+      log.record(
+          Decision.STEP_FAULTY,
+          "job",
+          step.job().id(),
+          "occurrence",
+          step.occurrence(),
+          "step",
+          step.number(),
+          "workers",
+          failures.workers.size());
     }
-    return !task.failsRepeatedly();
+    return !failures.stepFaulty && !task.failsRepeatedly();
   }
 
   private static boolean isFaulty(JobStep step, Set<Worker> failedOn) {
@@ -59,6 +73,12 @@
 
   /** Discards what is known of the steps of a job that has ended. */
   void removeJob(Job job) {
-    failedOn.keySet().removeIf(step -> step.job() == job);
+    failuresByStep.keySet().removeIf(step -> step.job() == job);
+  }
+
+  /** The failures of a step since its last success. */
+  private static final class Failures {
+    private final Set<Worker> workers = new HashSet<>();
+    private boolean stepFaulty;
   }
 }
--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -39,7 +39,7 @@
 
   private final JobTable jobs;
   private final DecisionLog log;
-  private final FailureAttribution attribution = new FailureAttribution();
+  private final FailureAttribution attribution;
   final RunsAwaitingOrder awaitingOrder = new RunsAwaitingOrder();
   final RunTimes runTimes = new RunTimes();
   private boolean fenced;
@@ -47,6 +47,7 @@
   RunTracker(JobTable jobs, DecisionLog log) {
     this.jobs = jobs;
     this.log = log;
+    attribution = new FailureAttribution(log);
   }
 
   /** Returns whether a worker has rejected an order because it has seen a higher term. */
@@ -325,12 +326,7 @@
               if (ended.kind() == EndKind.DONE) {
                 runTimes.recordDone(run, nowMillis);
               } else if (ended.kind() == EndKind.FAILED && run.state() != Run.State.STOPPING) {
-                run.task()
-                    .recordFailedRun(
-                        run.attempt(),
-                        activeMillis(run, nowMillis),
-                        worker.history().hasFailureOfOther(run.task().step()),
-                        nowMillis);
+                delayIfRepeated(worker, run, nowMillis);
               }
               release(worker, run);
             });
@@ -349,6 +345,17 @@
     applyEnd(task.get(), ended, nowMillis, wallMillis);
   }
 
+  /** Delays the next run of a task if several in a row have failed soon after their start. */
+  private void delayIfRepeated(Worker worker, Run run, long nowMillis) {
+    Task task = run.task();
+    boolean suspectWorker = worker.history().hasFailureOfOther(task.step());
+    long pauseMillis =
+        task.recordFailedRun(run.attempt(), activeMillis(run, nowMillis), suspectWorker, nowMillis);
+    if (pauseMillis > 0) {
+      log.record(Decision.TASK_DELAYED, "task", task.id(), "millis", pauseMillis);
+    }
+  }
+
   private void updateHistory(Worker worker, Task task, EndKind kind, long nowMillis) {
     if (kind == EndKind.DONE) {
       worker.history().recordSuccess();
--- a/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
+++ b/wire/src/main/java/org/lavenderstage/wire/event/LogEvent.java
@@ -142,6 +142,10 @@
   RUNS_PREEMPTED(7314),
   /** A job of an underserved size ranks above the other jobs of its priority. */
   TURN_GIVEN(7315),
+  /** The next run of a task is delayed, since several in a row failed soon after their start. */
+  TASK_DELAYED(7316),
+  /** A step has failed on several workers, and its failures are not held against workers. */
+  STEP_FAULTY(7317),
   /** A job was refused, since the work before it fills the capacity beyond its deadline. */
   JOB_NOT_ADMITTED(7318),
   /** A worker was added to the list or changed its listing. */
