--- a/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/RunTracker.java
@@ -39,7 +39,7 @@
 
   private final JobTable jobs;
   private final DecisionLog log;
-  private final FailureAttribution attribution;
+  private final RunOutcomes outcomes;
   final RunsAwaitingOrder awaitingOrder = new RunsAwaitingOrder();
   final RunTimes runTimes = new RunTimes();
   private boolean fenced;
@@ -47,7 +47,7 @@
   RunTracker(JobTable jobs, DecisionLog log) {
     this.jobs = jobs;
     this.log = log;
-    attribution = new FailureAttribution(log);
+    outcomes = new RunOutcomes(log);
   }
 
   /** Returns whether a worker has rejected an order because it has seen a higher term. */
@@ -196,7 +196,7 @@
         handleEndedTask(worker, ended, nowMillis, wallMillis);
       }
     }
-    worker.untrackedRuns().clear();
+    worker.untrackedRuns.clear();
     for (WorkerReport.RunningTask active : report.running()) {
       handleRunningTask(worker, active, seen, adopted, nowMillis, orders);
     }
@@ -231,7 +231,7 @@
           "worker",
           worker.id());
       jobs.findSpec(active.task())
-          .ifPresent(spec -> worker.untrackedRuns().add(active.task(), Worker.demand(spec)));
+          .ifPresent(spec -> worker.untrackedRuns.add(active.task(), Worker.demand(spec)));
       orders.add(new Order.StopUntracked(worker, active.task(), active.attempt()));
       return;
     }
@@ -242,19 +242,13 @@
     }
     run.get().updateReport(active.percent(), active.load());
     run.get().task().updateCheckpoint(active.checkpoint());
-    if (run.get().task().recordActive(activeMillis(run.get(), nowMillis))) {
-      attribution.recordSuccess(run.get().task().step());
-    }
+    outcomes.recordActive(run.get(), nowMillis);
     if (run.get().state() == Run.State.STARTING) {
       run.get().changeState(Run.State.RUNNING, nowMillis);
       recordBegun(run.get().task());
     }
   }
 
-  private static long activeMillis(Run run, long nowMillis) {
-    return run.state() == Run.State.RUNNING ? nowMillis - run.stateSinceMillis() : 0;
-  }
-
   private static boolean isAdoptable(Task task) {
     boolean free = task.runs().isEmpty() || task.step().spec().speculative();
     return free && !task.isDone() && task.step().job().isActive();
@@ -326,7 +320,7 @@
               if (ended.kind() == EndKind.DONE) {
                 runTimes.recordDone(run, nowMillis);
               } else if (ended.kind() == EndKind.FAILED && run.state() != Run.State.STOPPING) {
-                delayIfRepeated(worker, run, nowMillis);
+                outcomes.recordFailedRun(worker, run, nowMillis);
               }
               release(worker, run);
             });
@@ -334,7 +328,7 @@
     if (task.isEmpty()) {
       return;
     }
-    updateHistory(worker, task.get(), ended.kind(), nowMillis);
+    outcomes.recordEnd(worker, task.get(), ended.kind(), nowMillis);
     boolean superseded = ended.attempt() < task.get().lastAttempt() && !task.get().runs().isEmpty();
     task.get().recordAttempt(ended.attempt());
     recordBegun(task.get());
@@ -345,29 +339,6 @@
     applyEnd(task.get(), ended, nowMillis, wallMillis);
   }
 
-  /** Delays the next run of a task if several in a row have failed soon after their start. */
-  private void delayIfRepeated(Worker worker, Run run, long nowMillis) {
-    Task task = run.task();
-    boolean suspectWorker = worker.history().hasFailureOfOther(task.step());
-    long pauseMillis =
-        task.recordFailedRun(run.attempt(), activeMillis(run, nowMillis), suspectWorker, nowMillis);
-    if (pauseMillis > 0) {
-      log.record(Decision.TASK_DELAYED, "task", task.id(), "millis", pauseMillis);
-    }
-  }
-
-  private void updateHistory(Worker worker, Task task, EndKind kind, long nowMillis) {
-    if (kind == EndKind.DONE) {
-      worker.history().recordSuccess();
-      attribution.recordSuccess(task.step());
-    } else if (kind == EndKind.FAILED && attribution.recordFailure(worker, task)) {
-      long quarantineMillis = worker.history().recordFailure(task.step(), nowMillis);
-      if (quarantineMillis > 0) {
-        log.record(Decision.WORKER_QUARANTINED, "worker", worker.id(), "millis", quarantineMillis);
-      }
-    }
-  }
-
   private void applyEnd(Task task, WorkerReport.EndedTask ended, long nowMillis, long wallMillis) {
     Job job = task.step().job();
     if (job.phase() != JobPhase.ACTIVE || task.isDone()) {
@@ -394,7 +365,7 @@
       return;
     }
     log.record(Decision.JOB_ENDED, "job", job.id(), "phase", job.phase());
-    attribution.removeJob(job);
+    outcomes.removeJob(job);
     for (JobStep step : job.openSteps()) {
       stopAll(step, task -> true, "the job has ended", nowMillis);
     }
--- a/core/src/main/java/org/lavenderstage/core/pool/Worker.java
+++ b/core/src/main/java/org/lavenderstage/core/pool/Worker.java
@@ -21,7 +21,6 @@
   private Optional<WorkerListing> listing = Optional.empty();
   private final WorkerFence fence;
   private final Map<TaskId, List<Run>> runs = new HashMap<>();
-  private final UntrackedRuns untrackedRuns = new UntrackedRuns();
   private final UnansweredOrders unansweredOrders = new UnansweredOrders();
   private Resources allocated = Resources.NONE;
   private int bestEffortCpuMillis;
@@ -47,6 +46,7 @@
   private int failedPolls;
   private long blockedUntilMillis;
   final WorkerEvacuation evacuation = new WorkerEvacuation();
+  final UntrackedRuns untrackedRuns = new UntrackedRuns();
   private final RunHistory history = new RunHistory();
   private final EndedBestEffortRuns endedBestEffortRuns = new EndedBestEffortRuns();
   private long latencyLearnedAtMillis = Long.MIN_VALUE / 2;
@@ -391,11 +391,6 @@
     countRun(spec, -1);
   }
 
-  /** Returns the runs that are being stopped here without being tracked. */
-  UntrackedRuns untrackedRuns() {
-    return untrackedRuns;
-  }
-
   UnansweredOrders unansweredOrders() {
     return unansweredOrders;
   }
