--- a/core/src/test/java/org/lavenderstage/core/pool/AttemptNumberTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/AttemptNumberTest.java
@@ -6,7 +6,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
@@ -15,7 +14,6 @@
 import org.lavenderstage.core.job.QueueRules;
 import org.lavenderstage.core.job.StepSpec;
 import org.lavenderstage.core.job.TaskId;
-import org.lavenderstage.core.placement.Resources;
 
 /** The attempts of a task rise from owner to owner, however many each of them gives. */
 class AttemptNumberTest {
@@ -142,17 +140,7 @@
         new JobRecord(
             "00000000000000aa", rules, now, "x", List.of(StepBuilder.step(1, 1_000, 500)), 0, 0, 0),
         now);
-    owner.workerListed(
-        new WorkerListing(
-            "w",
-            "service",
-            "10.0.0.1:80",
-            "d",
-            "r",
-            Set.of(),
-            new Resources(8_000, 8_000, 0),
-            false,
-            1));
+    owner.workerListed(new SimulatedWorker(0, 1, new TaskOracle()).listing());
     List<Order> orders = new ArrayList<>();
     for (int i = 0; i < 100 && orders.stream().noneMatch(Order.Start.class::isInstance); i++) {
       now += 20;
--- a/core/src/test/java/org/lavenderstage/core/pool/CountedFailureTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/CountedFailureTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.lavenderstage.core.job.Job;
 import org.lavenderstage.core.job.JobPhase;
@@ -19,7 +18,6 @@
 import org.lavenderstage.core.job.StoredRecord;
 import org.lavenderstage.core.job.Task;
 import org.lavenderstage.core.job.TaskId;
-import org.lavenderstage.core.placement.Resources;
 
 /** A failed run counts once, though its worker reports it to several owners. */
 class CountedFailureTest {
@@ -131,17 +129,7 @@
   private static JobScheduler load(long term, StoredRecord... records) {
     JobScheduler owner = new JobScheduler(term, TIMING, 120_000, (decision, values) -> {});
     owner.load(List.of(records), new RenewalStops(), NOW, NOW);
-    owner.workerListed(
-        new WorkerListing(
-            "w",
-            "service",
-            "10.0.0.1:80",
-            "d",
-            "r",
-            Set.of(),
-            new Resources(8_000, 8_000, 0),
-            false,
-            1));
+    owner.workerListed(new SimulatedWorker(0, 1, new TaskOracle()).listing());
     return owner;
   }
 
--- a/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
+++ b/core/src/test/java/org/lavenderstage/core/pool/RepeatedFailureTest.java
@@ -105,6 +105,19 @@
     submitUrgentJobs(simulation, 6);
   }
 
+  /** Too few workers to show that a step fails on several of them. */
+  @Test
+  void urgentJobsRunBesideTwoLongRunningJobsThatFailOnBothWorkersOfAPool() {
+    PoolSimulation simulation = simulate(2, 32_000);
+    List<String> failing = new ArrayList<>();
+    simulation.failingTasks = task -> failing.contains(task.job());
+    for (int i = 0; i < 2; i++) {
+      failing.add(simulation.submit(List.of(StepBuilder.longRunning(4, 1_000)), 2).id());
+    }
+    simulation.run(10_000);
+    submitUrgentJobs(simulation, 6);
+  }
+
   /** Submits urgent jobs one after another; each has to run and to end in time. */
   private static void submitUrgentJobs(PoolSimulation simulation, int count) {
     for (int i = 0; i < count; i++) {
